--- /dev/null
+++ b/src/logic.hpp
@@ -0,0 +1,247 @@
+// The interface of pinedoor's decision module, in plain types. All decisions are in logic.cpp.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pinedoor {
+
+using Time = std::int64_t;  // whole tenths of a millisecond
+using Id = std::uint32_t;   // of a multiget or a part, as the wire gives it
+
+struct ServerId {
+    std::uint32_t address = 0;
+    std::uint16_t port = 0;
+    auto operator<=>(const ServerId&) const = default;
+};
+
+// What is stated at start, grouped by who needs it.
+
+enum class Repeat { kRetriable, kDeduped, kNonRetriable };
+
+struct OpType {
+    Time latency_budget = 0;
+    Time route_timeout = 0;
+    Repeat repeat = Repeat::kNonRetriable;
+    Time dedup_window = 0;
+    double importance = 1;
+    double late_importance = 0;   // share of the importance that a late answer earns
+    double least_share = 1;       // an answer needs at least this share of the weight
+    double whole_share = 1;       // a whole answer needs this share
+    double short_importance = 0;  // an answer not marked whole earns this times its share
+    int second_step_parts = 0;
+};
+
+struct ShardRing {
+    int places = 1;
+    int width = 1;
+    int parts_per_call = 1;
+    Time call_cost = 0;
+};
+
+struct NodePlace {
+    int me = 0;
+    int front_nodes = 1;
+    int zone = 0;
+    Time turn = 0;  // shortest time between two turns
+};
+
+struct SendTerms {
+    int most_sends = 1;  // of one part
+    bool second_copies = false;
+    bool cancel = false;
+    Time connect_timeout = 0;
+};
+
+struct FurtherSendTerms {  // look_back 0: no budget is stated
+    double floor = 0;
+    double ratio = 0;
+    Time look_back = 0;
+};
+
+struct ColdTerms {
+    double from = 1;
+    Time warm_after = 0;
+    double fall_multiple = 0;
+    Time tip_after = 0;
+};
+
+struct ListTerms {
+    bool ask = false;
+    Time must_ask_in = 0;
+    Time stop_within = 0;
+};
+
+struct ClientTerms {
+    bool retry_after = false;
+    Time longest_retry_after = 0;
+    bool marks_repeats = false;
+    Time answer_grace = 0;
+};
+
+struct TenantShare {
+    double per_second = 0;  // over all front nodes
+};
+
+struct HintTerms {  // what may be learned beside outcomes
+    bool probes = false;
+    bool peers = false;
+    bool warm_keys = false;
+    int latency_field = -1;  // place in a load report, or -1
+    int busy_field = -1;
+};
+
+// What happens.
+
+enum class ServerState : std::uint8_t { kGone, kReady, kDraining };
+
+struct ListEntry {
+    ServerId server;
+    int zone = 0;
+    int place = 0;
+    ServerState state = ServerState::kGone;
+    double size = 1;
+    Time started = 0;
+};
+
+enum class ListKind : std::uint8_t { kFailed, kChanges, kFull, kSaved };
+
+struct ListNews {
+    ListKind kind = ListKind::kFailed;
+    std::vector<ListEntry> entries;
+};
+
+struct PartArrival {
+    Id id = 0;
+    int shard = 0;
+    double weight = 0;
+    std::uint64_t key = 0;
+    Time cost_hint = 0;  // 0: none
+};
+
+struct MultigetArrival {
+    Id id = 0;
+    std::uint32_t number = 0;  // at this node; a second step's parts name it
+    int op_type = 0;
+    int tenant = 0;
+    bool repeat = false;
+    Time not_after = 0;
+    std::vector<PartArrival> parts;
+};
+
+struct SecondStep {
+    std::uint32_t number = 0;
+    std::vector<PartArrival> parts;
+};
+
+enum class Outcome : std::uint8_t {
+    kReturned,
+    kError,
+    kFull,
+    kTimedOut,
+    kNoConnection,
+    kReset,
+    kCancelled,
+    kNeverSent
+};
+
+struct SendEnded {
+    Id part = 0;
+    int send = 0;
+    ServerId server;
+    Time took = 0;
+    Outcome outcome = Outcome::kReturned;
+    std::vector<double> load;
+};
+
+struct Probed {
+    ServerId server;
+    bool ok = false;
+    Time took = 0;
+    std::vector<double> load;
+};
+
+struct ClientLeft {
+    Id multiget = 0;
+};
+
+struct Bell {
+    std::uint32_t token = 0;
+};
+
+struct PeerWord {
+    int from = 0;
+    std::vector<std::uint8_t> text;
+};
+
+using Event =
+    std::variant<ListNews, MultigetArrival, SecondStep, SendEnded, Probed, ClientLeft, Bell, PeerWord>;
+
+// What is done about it.
+
+struct Send {
+    Id part = 0;
+    ServerId server;
+    Time try_for = 0;
+};
+
+struct CallOff {
+    Id part = 0;
+    int send = 0;
+};
+
+struct Answer {
+    Id multiget = 0;
+    bool whole = false;
+};
+
+struct PushBack {
+    Id multiget = 0;
+    Time wait = 0;  // 0: no advice
+};
+
+struct Fail {
+    Id multiget = 0;
+};
+
+struct SetBell {
+    Time after = 0;
+    std::uint32_t token = 0;
+};
+
+struct LogLine {
+    std::string text;
+};
+
+struct WatchList {};
+struct FetchList {};
+
+struct Probe {
+    ServerId server;
+};
+
+using Action =
+    std::variant<Send, CallOff, Answer, PushBack, Fail, SetBell, LogLine, WatchList, FetchList, Probe>;
+
+// One front node's decisions. Give it every turn's events in their order; carry out what it returns in order.
+class FrontNode {
+public:
+    FrontNode(std::uint64_t seed, NodePlace place, std::vector<OpType> op_types, ShardRing ring,
+              SendTerms sends, FurtherSendTerms further, ColdTerms cold, ListTerms list, ClientTerms clients,
+              std::vector<TenantShare> tenants, HintTerms hints);
+    ~FrontNode();
+    FrontNode(FrontNode&&) noexcept;
+    FrontNode& operator=(FrontNode&&) noexcept;
+
+    std::vector<Action> turn(Time now, const std::vector<Event>& events);
+
+private:
+    struct Parts;
+    std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace pinedoor
--- /dev/null
+++ b/src/notes.hpp
@@ -0,0 +1,81 @@
+// The notes that the decision module's actors put into each other's inboxes. No decision is made here.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <random>
+#include <variant>
+#include <vector>
+
+#include "logic.hpp"
+
+namespace pinedoor {
+
+struct Tick {};
+struct Unlisted {};
+struct Order {  // send this part
+    Id part = 0;
+    int send = 0;
+    Time try_for = 0;
+    Time patience = 0;  // out for longer: overdue
+    bool further = false;
+};
+struct PartCost {
+    double usual = 0;
+};
+struct Card {  // what an index server lets the desk know of itself
+    ServerId server;
+    int place = 0;
+    bool listed_ready = false;
+    bool aside = false;
+    bool on_trial = false;
+    int calls_out = 0;
+    int room = 0;  // parts it may be sent now
+    double credit = 0;
+    bool operator==(const Card&) const = default;
+};
+struct SendOver {
+    Id part = 0;
+    int send = 0;
+    Outcome outcome = Outcome::kReturned;
+};
+struct Overdue {
+    Id part = 0;
+    int send = 0;
+};
+struct Strain {  // a send ended, or was found overdue
+    ServerId server;
+    bool pressing = false;
+};
+struct Took {
+    Time took = 0;
+};
+struct Fleet {
+    int ready = 0;
+};
+struct Alpha {
+    double value = 0;
+};
+struct PlacePart {
+    Id part = 0;
+};
+
+using ServerNote = std::variant<Tick, ListEntry, Unlisted, Order, SendEnded, PartCost>;
+using PulseNote = std::variant<Tick, Strain, Took, Fleet>;
+using FollowerNote = std::variant<Tick, ListNews>;
+using DeskNote =
+    std::variant<Tick, Card, SendOver, Overdue, Alpha, MultigetArrival, SecondStep, ClientLeft, PlacePart>;
+
+struct Post {
+    std::map<ServerId, std::deque<ServerNote>> servers;
+    std::deque<PulseNote> pulse;
+    std::deque<FollowerNote> follower;
+    std::deque<DeskNote> desk;
+    std::vector<Action> actions;
+    std::mt19937 chance;
+    Time now = 0;
+
+    Time random_part(Time most) { return static_cast<Time>(chance() % static_cast<std::uint32_t>(most + 1)); }
+};
+
+}  // namespace pinedoor
--- /dev/null
+++ b/src/wire/stated.cpp
@@ -0,0 +1,210 @@
+#include "wire/stated.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "wire/frame.hpp"
+
+namespace pinedoor::wire {
+namespace {
+
+constexpr double kMostMs = 1e9;
+constexpr int kMost = 1'000'000;
+
+double to_number(const std::string& path, const std::string& text, double least, double most) {
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) {
+        throw BadInput("settings: " + path + " is not a number: '" + text + "'");
+    }
+    if (value < least || value > most) throw BadInput("settings: " + path + " is out of range: " + text);
+    return value;
+}
+
+}  // namespace
+
+StatedText::StatedText(std::string_view text) {
+    while (!text.empty()) {
+        const auto end = std::min(text.find('\n'), text.size());
+        const auto line = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        if (line.empty()) continue;
+        const auto split = line.find('=');
+        if (split == std::string_view::npos) {
+            throw BadInput("settings: line without '=': '" + std::string(line.substr(0, 80)) + "'");
+        }
+        values_.insert_or_assign(std::string(line.substr(0, split)), std::string(line.substr(split + 1)));
+    }
+}
+
+const std::string* StatedText::find(const std::string& path) const {
+    const auto it = values_.find(path);
+    return it == values_.end() ? nullptr : &it->second;
+}
+
+const std::string& StatedText::text(const std::string& path) const {
+    const auto* value = find(path);
+    if (value == nullptr) throw BadInput("settings: " + path + " is missing");
+    return *value;
+}
+
+double StatedText::number(const std::string& path, double least, double most) const {
+    return to_number(path, text(path), least, most);
+}
+
+double StatedText::number_or(const std::string& path, double least, double most, double otherwise) const {
+    return find(path) == nullptr ? otherwise : number(path, least, most);
+}
+
+int StatedText::whole(const std::string& path, int least, int most) const {
+    const double value = number(path, least, most);
+    if (value != std::floor(value)) throw BadInput("settings: " + path + " is not a whole number");
+    return static_cast<int>(value);
+}
+
+Time StatedText::time(const std::string& path) const {
+    return static_cast<Time>(std::llround(number(path, 0, kMostMs) * 10));
+}
+
+bool StatedText::flag(const std::string& path) const {
+    const auto& value = text(path);
+    if (value == "true") return true;
+    if (value == "false") return false;
+    throw BadInput("settings: " + path + " is neither true nor false: '" + value + "'");
+}
+
+std::vector<std::string> StatedText::list(const std::string& path) const {
+    std::vector<std::string> items;
+    std::string_view rest = text(path);
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find(','), rest.size());
+        items.emplace_back(rest.substr(0, end));
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return items;
+}
+
+double StatedText::list_number(const std::string& path, std::size_t i, double least, double most) const {
+    const auto items = list(path);
+    if (i >= items.size()) throw BadInput("settings: " + path + " has too few values");
+    return to_number(path, items[i], least, most);
+}
+
+NodePlace StatedText::node_place() const {
+    NodePlace place;
+    place.me = whole("me", 0, kMost);
+    place.front_nodes = whole("siblings", 1, kMost);
+    place.zone = whole("zone", 0, kMost);
+    place.turn = time("tick_ms");
+    return place;
+}
+
+std::vector<OpType> StatedText::op_types() const {
+    std::vector<OpType> types(static_cast<std::size_t>(whole("classes.count", 0, 10'000)));
+    for (std::size_t i = 0; i < types.size(); ++i) {
+        const std::string at = "classes." + std::to_string(i) + ".";
+        auto& type = types[i];
+        type.latency_budget = time(at + "aim_ms");
+        type.route_timeout = time(at + "deadline_ms");
+        const auto& effect = text(at + "effect");
+        if (effect == "free") {
+            type.repeat = Repeat::kRetriable;
+        } else if (effect == "guarded") {
+            type.repeat = Repeat::kDeduped;
+            type.dedup_window = time(at + "memory_span_ms");
+        } else if (effect != "single_shot") {
+            throw BadInput("settings: " + at + "effect is unknown: '" + effect + "'");
+        }
+        type.importance = number(at + "worth", 0, 1e9);
+        type.late_importance = number(at + "late_worth", 0, 1);
+        type.least_share = list_number("family_info.min_share", i, 0, 1);
+        type.whole_share = list_number("family_info.need_by_class", i, 0, 1);
+        type.short_importance = list_number("family_info.short_worth", i, 0, 1);
+        type.second_step_parts = static_cast<int>(list_number("family_info.follow_up", i, 0, kMost));
+    }
+    return types;
+}
+
+ShardRing StatedText::shard_ring() const {
+    ShardRing ring;
+    ring.places = whole("family_info.places", 1, kMost);
+    ring.width = whole("family_info.width", 1, ring.places);
+    ring.parts_per_call = whole("family_info.per_call", 1, kMost);
+    ring.call_cost = time("family_info.overhead_ms");
+    return ring;
+}
+
+SendTerms StatedText::send_terms() const {
+    SendTerms terms;
+    terms.most_sends = whole("limits.max_attempts", 1, kMost);
+    terms.second_copies = flag("limits.second_copies");
+    terms.cancel = flag("limits.cancel");
+    terms.connect_timeout = time("limits.connect_timeout_ms");
+    return terms;
+}
+
+FurtherSendTerms StatedText::further_send_terms() const {
+    FurtherSendTerms terms;
+    if (find("rules.look_back_ms") == nullptr) return terms;
+    terms.look_back = time("rules.look_back_ms");
+    terms.floor = number_or("rules.extra_floor", 0, 1e9, 0);
+    terms.ratio = number_or("rules.repeat_ratio", 0, 1e9, 0);
+    return terms;
+}
+
+ColdTerms StatedText::cold_terms() const {
+    ColdTerms terms;
+    terms.from = number("rules.cold_from", 0, 1);
+    terms.warm_after = time("rules.warm_after_ms");
+    terms.fall_multiple = number("rules.fall_multiple", 0, 1e9);
+    terms.tip_after = time("rules.tip_after_ms");
+    return terms;
+}
+
+ListTerms StatedText::list_terms() const {
+    ListTerms terms;
+    const auto& mode = text("discovery");
+    if (mode != "on_request" && mode != "pushed") {
+        throw BadInput("settings: discovery is unknown: '" + mode + "'");
+    }
+    terms.ask = mode == "on_request";
+    if (terms.ask) terms.must_ask_in = time("rules.must_ask_in_ms");
+    terms.stop_within = time("rules.stop_sending_within_ms");
+    return terms;
+}
+
+ClientTerms StatedText::client_terms() const {
+    ClientTerms terms;
+    terms.retry_after = flag("limits.retry_after");
+    terms.longest_retry_after = time("limits.max_retry_after_ms");
+    terms.marks_repeats = flag("clients.marks_retry");
+    terms.answer_grace = time("rules.grace_to_answer_ms");
+    return terms;
+}
+
+std::vector<TenantShare> StatedText::tenants() const {
+    std::vector<TenantShare> tenants;
+    if (find("parties.count") == nullptr) return tenants;
+    tenants.resize(static_cast<std::size_t>(whole("parties.count", 0, 100'000)));
+    for (std::size_t i = 0; i < tenants.size(); ++i) {
+        tenants[i].per_second = number("parties." + std::to_string(i) + ".quota_per_s", 0, 1e9);
+    }
+    return tenants;
+}
+
+HintTerms StatedText::hint_terms() const {
+    HintTerms terms;
+    terms.probes = flag("limits.probes");
+    terms.peers = flag("limits.peers");
+    terms.warm_keys = find("family_info.warm_keys") != nullptr && flag("family_info.warm_keys");
+    if (find("load_info.fields") == nullptr) return terms;
+    const auto fields = list("load_info.fields");
+    for (std::size_t i = 0; i < fields.size(); ++i) {
+        if (fields[i] == "latency_ms") terms.latency_field = static_cast<int>(i);
+        if (fields[i] == "util") terms.busy_field = static_cast<int>(i);
+    }
+    return terms;
+}
+
+}  // namespace pinedoor::wire
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,123 @@
+#include <doctest/doctest.h>
+
+#include <sstream>
+#include <string>
+
+#include "wire/frame.hpp"
+#include "wire/stated.hpp"
+
+namespace {
+
+using namespace pinedoor;
+
+std::string bytes(const std::string& hex) {
+    std::string out;
+    std::string digits;
+    for (const char c : hex) {
+        if (c == ' ') continue;
+        digits.push_back(c);
+        if (digits.size() < 2) continue;
+        out.push_back(static_cast<char>(std::stoi(digits, nullptr, 16)));
+        digits.clear();
+    }
+    return out;
+}
+
+std::string frame(int records, const std::string& hex) {
+    const auto body = bytes(hex);
+    std::string out;
+    for (const std::size_t n : {body.size() + 20})
+        out += {static_cast<char>(n), static_cast<char>(n >> 8U), 0, 0};
+    out += bytes("00000000206ec040");
+    out += {static_cast<char>(records), 0, 0, 0, 12, 0, 0, 0};
+    return out + body;
+}
+
+std::string complaint(const std::string& one_frame) {
+    try {
+        wire::BatchDecoder().decode(one_frame);
+    } catch (const wire::BadInput& error) {
+        return error.what();
+    }
+    return "none";
+}
+
+const std::string kArrival =
+    "12 31000000 0300 c4913a5d 00000000 00000000 0000000000002840 0000 01 640ad2557c3bf091 00005643 "
+    "0000000020e6c040 0000003e";
+const std::string kList =
+    "1a 38000000 00000000 02000000 0000 0a124a07 2b23 0000 00 01 0000803f 0000000000000000 "
+    "0100 0a9011f2 5423 0000 00 01 0000c03f 0000000000d4b740";
+
+TEST_CASE("a batch of events is read as the wire writes it") {
+    wire::BatchDecoder decoder;
+    const auto batch = decoder.decode(
+        frame(4, kList + "11 0b000000 0300 29000000 00000000 03" + kArrival + "16 06000000 0300 4d000000"));
+    CHECK(batch.clock == 84123);
+    REQUIRE(batch.records.size() == 3);
+    const auto& news = std::get<wire::Discovery>(batch.records[0].what);
+    CHECK(news.kind == ListKind::kSaved);
+    REQUIRE(news.entries.size() == 2);
+    CHECK(news.entries[1].server == ServerId{0x0a9011f2, 9044});
+    CHECK(news.entries[1].started == 6100'0);
+    const auto& arrival = std::get<wire::Arrival>(batch.records[1].what);
+    CHECK(arrival.is_part);
+    CHECK(arrival.part.id == 0x5d3a91c4);
+    CHECK(arrival.part.weight == doctest::Approx(0.125));
+    CHECK(arrival.part.cost_hint == 12'0);
+    CHECK(std::get<Bell>(batch.records[2].what).token == 77);
+}
+
+TEST_CASE("a numbered list is taken as it stood at each event, even within one batch") {
+    const std::string empty = "1a 08000000 00000000 00000000";
+    const std::string refer = "11 0b000000 0300 29000000 00000000 02";
+    const auto batch = wire::BatchDecoder().decode(frame(4, kList + refer + empty + refer));
+    CHECK(std::get<wire::Discovery>(batch.records[0].what).entries.size() == 2);
+    CHECK(std::get<wire::Discovery>(batch.records[1].what).entries.empty());
+}
+
+TEST_CASE("actions are written as the wire shows them") {
+    wire::ReplyEncoder reply;
+    reply.add(3, Send{0x5d3a91c4, {0x0a124a07, 9003}, 80'0});
+    reply.add(3, SetBell{500'0, 77});
+    CHECK(reply.finish(12) ==
+          bytes("02000000 38000000 0c000000 16 14000000 0300 c4913a5d 0a124a07 2b23 0000000000005440"
+                "11 0e000000 0300 0000000000407f40 4d000000"));
+}
+
+TEST_CASE("bad frames get a plain message") {
+    CHECK(complaint(frame(1, "63 02000000 0300")) == "record 0 (code 99): unknown code");
+    CHECK(complaint(frame(1, "16 05000000 0300 4d0000")) == "record 0 (code 22): field nonce is cut short");
+    CHECK(complaint(frame(1, "16 07000000 0300 4d000000 00")) == "record 0 (code 22): 1 bytes left over");
+    CHECK(complaint(frame(1, "16 ffffff7f 0300")) ==
+          "record 0 (code 22): says 2147483647 bytes, holds fewer");
+    CHECK(complaint(frame(2, "16 06000000 0300 4d000000")) == "frame header: field record head is cut short");
+    CHECK(complaint(frame(1, "1a 08000000 00000000 ffffffff")) ==
+          "record 0 (code 26): says 4294967295 entries, holds fewer");
+    CHECK(complaint(frame(1, "11 0b000000 0300 29000000 07000000 02")) ==
+          "record 0 (code 17): names an unknown list");
+    CHECK(complaint(frame(0, "") + "x") == "frame header: length does not match the frame");
+}
+
+TEST_CASE("input that ends inside a frame or promises too much is refused") {
+    std::string got;
+    std::istringstream cut(frame(1, kArrival).substr(0, 30));
+    CHECK_THROWS_WITH(wire::read_frame(cut, got), "frame: cut short by the end of input");
+    std::istringstream vast(bytes("ffffffff"));
+    CHECK_THROWS_AS(wire::read_frame(vast, got), wire::BadInput);
+    std::istringstream none("");
+    CHECK_FALSE(wire::read_frame(none, got));
+}
+
+TEST_CASE("settings text: unknown keys are passed over, bad values are named") {
+    CHECK(wire::StatedText("family_info.places=12\nfamily_info.width=3\nfamily_info.per_call=8\n"
+                           "family_info.overhead_ms=45.0\nwhat.is.this=x\n")
+              .shard_ring()
+              .call_cost == 45'0);
+    CHECK_THROWS_WITH(wire::StatedText("me=x").node_place(), "settings: me is not a number: 'x'");
+    CHECK_THROWS_WITH(wire::StatedText("").node_place(), "settings: me is missing");
+    CHECK_THROWS_WITH(wire::StatedText("discovery=maybe").list_terms(),
+                      "settings: discovery is unknown: 'maybe'");
+}
+
+}  // namespace
