Judge silence and overdue sends by the mean wait, and earn credit slower

Cause: a server was set aside after a third of the shortest latency budget without a word, which ordinary queues exceed; each set-aside sent copies, and copies under load made the queues longer. May harm: a hung server is found later when everything is slow.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -74,8 +74,9 @@
           front_nodes_(front_nodes),
           parts_per_call_(parts_per_call),
           silence_(shortest_budget / 3),
+          slow_(shortest_budget / 2),
           aside_for_(shortest_budget * 2),
-          usual_cost_(static_cast<double>(shortest_budget) / 4) {}
+          usual_cost_(static_cast<double>(shortest_budget) / 8) {}
 
     void take(const Tick&) {
         if (standing_ == Standing::kAside && post_.now >= aside_until_) {
@@ -86,7 +87,11 @@
         fill_cold_room();
         look_for_silence();
         for (auto& [key, out] : out_) {
-            if (!out.overdue && post_.now >= out.overdue_at) overdue(key, out, standing_ == Standing::kGood);
+            if (post_.now < out.overdue_at) continue;
+            if (!std::exchange(out.strained, true) && standing_ == Standing::kGood) {
+                post_.pulse.push_back(Strain{id_, true});
+            }
+            if (post_.now - out.sent >= slow_) overdue(key, out);
         }
         publish();
     }
@@ -114,7 +119,7 @@
         }
         ++call_parts_;
         ++calls_out_[call_];
-        out_[{order.part, order.send}] = {post_.now, post_.now + order.patience, call_, false};
+        out_[{order.part, order.send}] = {post_.now, post_.now + order.patience, call_, false, false};
         if (is_cold()) cold_room_ -= 1;
         if (order.further) credit_ -= 1;
         if (standing_ == Standing::kTrial) trial_used_ = true;
@@ -122,7 +127,13 @@
         publish();
     }
 
-    void take(const PartCost& cost) { usual_cost_ = cost.usual; }
+    void take(const Pace& pace) {
+        // A wait is suspicious only when it is long beside what the others show: under load all are slow, and
+        // copies would make that worse.
+        constexpr double kFarBehind = 2.5;
+        usual_cost_ = pace.quick;
+        slow_ = std::max(silence_, static_cast<Time>(kFarBehind * pace.mean));
+    }
 
     void take(const SendEnded& ended) {
         const auto it = out_.find({ended.part, ended.send});
@@ -142,6 +153,7 @@
         Time overdue_at = 0;
         int call = 0;
         bool overdue = false;
+        bool strained = false;
     };
     using SendKey = std::pair<Id, int>;
 
@@ -186,7 +198,7 @@
             case Outcome::kCancelled:
             case Outcome::kNeverSent: return;
         }
-        if (out.overdue || aside) return;
+        if (out.strained || aside) return;
         post_.pulse.push_back(
             Strain{id_, ended.outcome == Outcome::kFull || ended.outcome == Outcome::kTimedOut});
     }
@@ -197,16 +209,14 @@
         if (out_.empty() || standing_ == Standing::kAside) return;
         Time oldest = post_.now;
         for (const auto& [key, out] : out_) oldest = std::min(oldest, out.sent);
-        if (post_.now - std::max(heard_, oldest) < silence_) return;
+        if (post_.now - std::max(heard_, oldest) < slow_) return;
         set_aside(true, "silence");
-        for (auto& [key, out] : out_) overdue(key, out, false);
+        for (auto& [key, out] : out_) overdue(key, out);
     }
 
-    void overdue(const SendKey& key, OutSend& out, bool pressing) {
-        if (out.overdue) return;
-        out.overdue = true;
+    void overdue(const SendKey& key, OutSend& out) {
+        if (std::exchange(out.overdue, true)) return;
         post_.desk.push_back(Overdue{key.first, key.second});
-        if (pressing) post_.pulse.push_back(Strain{id_, true});
     }
 
     void set_aside(bool silent, const char* why) {
@@ -259,6 +269,7 @@
     const int front_nodes_;
     const int parts_per_call_;
     const Time silence_;
+    Time slow_;
     const Time aside_for_;
     ListEntry entry_;
     Card shown_;
@@ -285,7 +296,8 @@
 class Pulse {
 public:
     Pulse(Post& post, Time shortest_budget)
-        : post_(post), usual_cost_(static_cast<double>(shortest_budget) / 4) {}
+        : post_(post),
+          pace_{static_cast<double>(shortest_budget) / 8, static_cast<double>(shortest_budget) / 4} {}
 
     void take(const Strain& strain) {
         ++ended_;
@@ -294,10 +306,11 @@
         pressed_servers_.insert(strain.server);
     }
 
-    void take(const Took& took) {  // follows the lower quartile, which waiting in queues moves little
-        const double step = usual_cost_ / 32;
-        usual_cost_ += static_cast<double>(took.took) > usual_cost_ ? step : -3 * step;
-        usual_cost_ = std::max(usual_cost_, 10.0);
+    void take(const Took& took) {  // the quick one is the tenth in a hundred, which queues move little
+        const auto t = static_cast<double>(took.took);
+        pace_.quick += pace_.quick / 32 * (t > pace_.quick ? 1.0 / 9 : -1);
+        pace_.quick = std::max(pace_.quick, 10.0);
+        pace_.mean += (t - pace_.mean) / 32;
     }
 
     void take(const Fleet& fleet) { ready_ = fleet.ready; }
@@ -317,7 +330,7 @@
         }
         if (before == 0 && alpha_ > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
         if (alpha_ != before) post_.desk.push_back(Alpha{alpha_});
-        for (auto& [id, inbox] : post_.servers) inbox.push_back(PartCost{usual_cost_});
+        for (auto& [id, inbox] : post_.servers) inbox.push_back(pace_);
         ended_ = pressing_ = 0;
         pressed_servers_.clear();
     }
@@ -336,7 +349,7 @@
     int ready_ = 0;
     std::set<ServerId> pressed_servers_;
     double alpha_ = 0;
-    double usual_cost_;
+    Pace pace_;
     Time window_ends_ = 0;
 };
 
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -20,8 +20,9 @@
     Time patience = 0;  // out for longer: overdue
     bool further = false;
 };
-struct PartCost {
-    double usual = 0;
+struct Pace {          // how long answers take lately, over all index servers
+    double quick = 0;  // one that hardly waited
+    double mean = 0;
 };
 struct Card {  // what an index server lets the desk know of itself
     ServerId server;
@@ -60,7 +61,7 @@
     Id part = 0;
 };
 
-using ServerNote = std::variant<Tick, ListEntry, Unlisted, Order, SendEnded, PartCost>;
+using ServerNote = std::variant<Tick, ListEntry, Unlisted, Order, SendEnded, Pace>;
 using PulseNote = std::variant<Tick, Strain, Took, Fleet>;
 using FollowerNote = std::variant<Tick, ListNews>;
 using DeskNote =
