Scale alpha's steps and cap by the mean told weight

Cause: fixed steps of 0.01 up to 0.1 bite late where a dozen shards weigh the same (mean 0.08) and hard where dozens do (mean 0.02). May harm where weights are so uneven that twice the mean cuts a part that matters.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -313,6 +313,7 @@
         pace_.mean += (t - pace_.mean) / 32;
     }
 
+    void take(const Weighed& weighed) { mean_weight_ += (weighed.mean - mean_weight_) / (mean_weight_ > 0 ? 8 : 1); }
     void take(const Fleet& fleet) { ready_ = fleet.ready; }
 
     void take(const Tick&) {
@@ -323,10 +324,11 @@
         const bool widespread = static_cast<int>(pressed_servers_.size()) * kFewServers > ready_;
         const bool pressed = ended_ >= kLeastEnded && pressing_ > kMark * ended_ && widespread;
         const double before = alpha_;
+        const double step = kStep * mean_weight_;
         if (pressed) {
-            alpha_ = alpha_ > 0 ? std::min(kCap, alpha_ * 2) : kStep;
+            alpha_ = std::clamp(alpha_ * 2, step, kCap * mean_weight_);
         } else if (pressing_ <= kMark * ended_ || ended_ < kLeastEnded) {
-            alpha_ = std::max(0.0, alpha_ - kStep);
+            alpha_ = std::max(0.0, alpha_ - step);
         }
         if (before == 0 && alpha_ > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
         if (alpha_ != before) post_.desk.push_back(Alpha{alpha_});
@@ -339,8 +341,9 @@
     static constexpr Time kWindow = 10'000;  // one second, as the design has it
     static constexpr double kMark = 0.05;
     static constexpr int kLeastEnded = 20;
-    static constexpr double kCap = 0.1;
-    static constexpr double kStep = kCap / 10;
+    // Steps go by the mean weight of a part, so that they bite alike on a dozen shards and on many dozens.
+    static constexpr double kStep = 0.5;
+    static constexpr double kCap = 2;
     static constexpr int kFewServers = 4;  // a quarter of the ready ones
 
     Post& post_;
@@ -348,6 +351,7 @@
     int pressing_ = 0;
     int ready_ = 0;
     std::set<ServerId> pressed_servers_;
+    double mean_weight_ = 0;
     double alpha_ = 0;
     Pace pace_;
     Time window_ends_ = 0;
@@ -409,6 +413,9 @@
         mg.budget_ends = std::min(mg.answer_by, client_start(told, type) + type.latency_budget - 4 * turn_);
         add_parts(mg, told.parts);
         if (type.late_importance <= 0 && post_.now >= mg.budget_ends) return give_up(mg);
+        if (type.least_share < type.whole_share && !mg.parts.empty()) {
+            post_.pulse.push_back(Weighed{1.0 / static_cast<double>(mg.parts.size())});
+        }
         select(mg, type);
     }
 
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -51,6 +51,9 @@
 struct Took {
     Time took = 0;
 };
+struct Weighed {  // a multiget that may be answered in part came with this mean weight of its parts
+    double mean = 0;
+};
 struct Fleet {
     int ready = 0;
 };
@@ -62,7 +65,7 @@
 };
 
 using ServerNote = std::variant<Tick, ListEntry, Unlisted, Order, SendEnded, Pace>;
-using PulseNote = std::variant<Tick, Strain, Took, Fleet>;
+using PulseNote = std::variant<Tick, Strain, Took, Weighed, Fleet>;
 using FollowerNote = std::variant<Tick, ListNews>;
 using DeskNote =
     std::variant<Tick, Card, SendOver, Overdue, Alpha, MultigetArrival, SecondStep, ClientLeft, PlacePart>;
