Let index servers' cards reach the desk before its next note

Change: cards have an inbox that is emptied first. The picker also no longer counts a call of this very turn that the part can join.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -248,19 +248,21 @@
 
     void publish() {
         constexpr int kAmple = 1 << 20;
+        // A part that joins a call of this very turn adds no call, so that one does not count against it.
+        const bool can_join = call_turn_ == post_.now && call_parts_ < parts_per_call_;
         Card card{id_,
                   entry_.place,
                   entry_.state == ServerState::kReady,
                   standing_ == Standing::kAside,
                   standing_ == Standing::kTrial,
-                  static_cast<int>(calls_out_.size()),
+                  static_cast<int>(calls_out_.size()) - (can_join ? 1 : 0),
                   kAmple,
                   credit_};
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, cold_room_));
         if (card.on_trial) card.room = std::min(card.room, trial_used_ ? 0 : 1);
         if (card == shown_) return;
         shown_ = card;
-        post_.desk.push_back(card);
+        post_.cards.push_back(card);
     }
 
     Post& post_;
@@ -313,7 +315,9 @@
         pace_.mean += (t - pace_.mean) / 32;
     }
 
-    void take(const Weighed& weighed) { mean_weight_ += (weighed.mean - mean_weight_) / (mean_weight_ > 0 ? 8 : 1); }
+    void take(const Weighed& weighed) {
+        mean_weight_ += (weighed.mean - mean_weight_) / (mean_weight_ > 0 ? 8 : 1);
+    }
     void take(const Fleet& fleet) { ready_ = fleet.ready; }
 
     void take(const Tick&) {
@@ -732,7 +736,8 @@
         return true;
     }
 
-    // Index servers go before the desk, so that it always decides by their latest cards.
+    // Index servers and their cards go before each of the desk's notes: it must not decide by a card that an
+    // order of the same turn has made untrue, or a whole multiget goes to one cold server's last free place.
     void empty_inboxes() {
         for (bool busy = true; busy;) {
             busy = empty_one(follower, post.follower);
@@ -740,6 +745,7 @@
                 while (empty_one(server(id), inbox)) busy = true;
             }
             while (empty_one(pulse, post.pulse)) busy = true;
+            while (empty_one(desk, post.cards)) busy = true;
             if (!busy) busy = empty_one(desk, post.desk);
         }
     }
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -68,13 +68,14 @@
 using PulseNote = std::variant<Tick, Strain, Took, Weighed, Fleet>;
 using FollowerNote = std::variant<Tick, ListNews>;
 using DeskNote =
-    std::variant<Tick, Card, SendOver, Overdue, Alpha, MultigetArrival, SecondStep, ClientLeft, PlacePart>;
+    std::variant<Tick, SendOver, Overdue, Alpha, MultigetArrival, SecondStep, ClientLeft, PlacePart>;
 
 struct Post {
     std::map<ServerId, std::deque<ServerNote>> servers;
     std::deque<PulseNote> pulse;
     std::deque<FollowerNote> follower;
     std::deque<DeskNote> desk;
+    std::deque<std::variant<Card>> cards;  // the desk's too; read before its other notes
     std::vector<Action> actions;
     std::mt19937 chance;
     Time now = 0;
