Break ties between calls by parts out, then by chance

Cause: where parts share calls a call of eight counts as one of one, so chance piled parts on some replicas. May harm where answers of one call come all together.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -9,6 +9,7 @@
 #include "logic.hpp"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <set>
@@ -248,14 +249,14 @@
 
     void publish() {
         constexpr int kAmple = 1 << 20;
-        // A part that joins a call of this very turn adds no call, so that one does not count against it.
-        const bool can_join = call_turn_ == post_.now && call_parts_ < parts_per_call_;
+
         Card card{id_,
                   entry_.place,
                   entry_.state == ServerState::kReady,
                   standing_ == Standing::kAside,
                   standing_ == Standing::kTrial,
-                  static_cast<int>(calls_out_.size()) - (can_join ? 1 : 0),
+                  static_cast<int>(calls_out_.size()),
+                  static_cast<int>(out_.size()),
                   kAmple,
                   credit_};
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, cold_room_));
@@ -546,15 +547,15 @@
         const bool is_further = !part.sends.empty();
         if (is_further && !budget_.allows(post_.now)) return nullptr;
         std::vector<const Card*> best;
-        std::pair<int, int> lowest{};
+        std::array<int, 3> lowest{};
         for (const auto& [id, card] : cards_) {
             const int distance =
                 ((card.place - part.told.shard) % ring_.places + ring_.places) % ring_.places;
             if (distance >= ring_.width || !card.listed_ready || card.room < 1) continue;
             if (is_further && (card.credit < 1 || card.aside || was_at(part, id))) continue;
             const bool testing = card.on_trial && type.repeat == Repeat::kRetriable;
-            const std::pair<int, int> rank{card.aside ? 2 : (card.on_trial && !testing ? 1 : 0),
-                                           card.calls_out};
+            const std::array<int, 3> rank{card.aside ? 2 : (card.on_trial && !testing ? 1 : 0),
+                                          card.calls_out, card.parts_out};
             if (best.empty() || rank < lowest) {
                 best.clear();
                 lowest = rank;
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -31,6 +31,7 @@
     bool aside = false;
     bool on_trial = false;
     int calls_out = 0;
+    int parts_out = 0;
     int room = 0;  // parts it may be sent now
     double credit = 0;
     bool operator==(const Card&) const = default;
