Push back at arrival what expected waits make hopeless; copies only off silent servers

Change: each index server's expected wait (its latest answers' waits, less the time since) decides at arrival whether enough parts can come within 0.6 of the time left; only a server's silence, not one slow send, starts further sends; the silence mark is half as long again. Also covers: lost zones, slow fleets, bursts. May harm: one heavy multiget's waits make a server look worse than it is for about as long as that wait.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <limits>
 #include <map>
 #include <set>
 #include <utility>
@@ -92,7 +93,6 @@
             if (!std::exchange(out.strained, true) && standing_ == Standing::kGood) {
                 post_.pulse.push_back(Strain{id_, true});
             }
-            if (post_.now - out.sent >= slow_) overdue(key, out);
         }
         publish();
     }
@@ -170,6 +170,7 @@
                 errors_ -= errors_ * kErrorStep;
                 credit_ = std::min(kMostCredit, credit_ + kEarned);
                 post_.pulse.push_back(Took{ended.took});
+                see_wait(ended.took, false);
                 // An answer ends the doubt that silence raised; only time ends the one that errors raised.
                 if (standing_ == Standing::kTrial || (aside && silent_)) standing_ = Standing::kGood;
                 break;
@@ -194,9 +195,10 @@
                 break;
             case Outcome::kTimedOut:
                 credit_ = std::max(0.0, credit_ - 1);
+                see_wait(ended.took, true);
                 if (standing_ == Standing::kTrial) set_aside(true, "trial timed out");
                 break;
-            case Outcome::kCancelled:
+            case Outcome::kCancelled: see_wait(ended.took, true); return;
             case Outcome::kNeverSent: return;
         }
         if (out.strained || aside) return;
@@ -204,13 +206,29 @@
             Strain{id_, ended.outcome == Outcome::kFull || ended.outcome == Outcome::kTimedOut});
     }
 
+    // The wait that this node's latest answers showed, less the time since, in which a queue that nobody adds
+    // to would have shrunk; at least the age of the oldest send that is still out.
+    Time expected_wait() const {
+        Time wait = std::max<Time>(0, wait_ - (post_.now - wait_seen_));
+        if (standing_ == Standing::kAside) return wait;
+        for (const auto& [key, out] : out_) wait = std::max(wait, post_.now - out.sent);
+        return wait;
+    }
+
+    void see_wait(Time took, bool at_least) {
+        const Time before = std::max<Time>(0, wait_ - (post_.now - wait_seen_));
+        if (at_least && took <= before) return;
+        wait_ = before + (took - before) / 4;
+        wait_seen_ = post_.now;
+    }
+
     // Guards against a server that takes work and answers nothing, whatever ails it: a hang, a cut link, a
     // zone gone without word, a process that stands still. A live one with work in hand is heard from often.
     void look_for_silence() {
         if (out_.empty() || standing_ == Standing::kAside) return;
         Time oldest = post_.now;
         for (const auto& [key, out] : out_) oldest = std::min(oldest, out.sent);
-        if (post_.now - std::max(heard_, oldest) < slow_) return;
+        if (post_.now - std::max(heard_, oldest) < slow_ * 3 / 2) return;
         set_aside(true, "silence");
         for (auto& [key, out] : out_) overdue(key, out);
     }
@@ -261,6 +279,7 @@
                   credit_};
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, cold_room_));
         if (card.on_trial) card.room = std::min(card.room, trial_used_ ? 0 : 1);
+        card.wait = expected_wait();
         if (card == shown_) return;
         shown_ = card;
         post_.cards.push_back(card);
@@ -286,6 +305,8 @@
     bool trial_used_ = false;
     Time aside_until_ = 0;
     Time heard_ = 0;
+    Time wait_ = 0;
+    Time wait_seen_ = 0;
     double errors_ = 0;
     double credit_ = 2;
     Time started_ = 0;
@@ -490,6 +511,8 @@
 
 private:
     using Stage = PartState::Stage;
+    static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
+    static constexpr double kHopeful = 0.6;       // of the time left that an expected wait may take
 
     // A try that ends sooner than tries of its op type usually do ends with its client's whole time, which
     // tells when that client began: repeats are not taken for new work that still has all its budget.
@@ -517,6 +540,14 @@
         for (std::size_t i = 0; i < mg.parts.size(); ++i) order.emplace_back(-mg.parts[i].told.weight, i);
         std::sort(order.begin(), order.end());
         double covered = 0;
+        double hopeful = 0;
+        const Time left = mg.budget_ends - post_.now;
+        for (const auto& part : mg.parts) {
+            if (shortest_wait(part) <= static_cast<Time>(kHopeful * left)) hopeful += part.told.weight;
+        }
+        // What cannot be answered in time is pushed back before any part is sent: parts that end too late to
+        // serve an answer still take their servers' time, and under load that makes the next ones late too.
+        if (hopeful + kRounding < type.least_share) return give_up(mg);
         for (const auto& [minus, i] : order) {
             auto& part = mg.parts[i];
             if (type.least_share < type.whole_share && part.told.weight <= alpha_ && covered >= guard) {
@@ -529,6 +560,19 @@
         if (mg.parts.empty()) review(mg);
     }
 
+    bool holds(const Card& card, int shard) const {
+        const int distance = ((card.place - shard) % ring_.places + ring_.places) % ring_.places;
+        return distance < ring_.width && card.listed_ready;
+    }
+
+    Time shortest_wait(const PartState& part) const {
+        Time shortest = std::numeric_limits<Time>::max();
+        for (const auto& [id, card] : cards_) {
+            if (holds(card, part.told.shard) && !card.aside) shortest = std::min(shortest, card.wait);
+        }
+        return shortest;
+    }
+
     bool may_send(const PartState& part, const OpType& type) {
         if (part.sends.empty()) return true;
         if (static_cast<int>(part.sends.size()) >= sends_.most_sends) return false;
@@ -549,9 +593,7 @@
         std::vector<const Card*> best;
         std::array<int, 3> lowest{};
         for (const auto& [id, card] : cards_) {
-            const int distance =
-                ((card.place - part.told.shard) % ring_.places + ring_.places) % ring_.places;
-            if (distance >= ring_.width || !card.listed_ready || card.room < 1) continue;
+            if (!holds(card, part.told.shard) || card.room < 1) continue;
             if (is_further && (card.credit < 1 || card.aside || was_at(part, id))) continue;
             const bool testing = card.on_trial && type.repeat == Repeat::kRetriable;
             const std::array<int, 3> rank{card.aside ? 2 : (card.on_trial && !testing ? 1 : 0),
@@ -613,7 +655,7 @@
             if (post_.now >= mg.answer_by) give_up(mg);
             return;
         }
-        constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
+
         const auto& type = op_types_.at(static_cast<std::size_t>(mg.told.op_type));
         double in = 0;
         double pending = 0;
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -34,6 +34,7 @@
     int parts_out = 0;
     int room = 0;  // parts it may be sent now
     double credit = 0;
+    Time wait = 0;  // what a part sent now may have to wait for its answer
     bool operator==(const Card&) const = default;
 };
 struct SendOver {
