Picker passes over replicas too slow for the time left while another is not

Change: hopeless means that no replica with room can answer in 0.6 of the time left, and the picker takes a hopeful replica before a hopeless one. May harm: under load the slowest replicas go unused for about one wait.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -461,7 +461,7 @@
         if (part == nullptr || part->stage != PartState::Stage::kWaiting) return;
         const auto& type = op_types_.at(static_cast<std::size_t>(mg->told.op_type));
         if (!may_send(*part, type)) return lose_part(*mg, *part);
-        if (const auto* card = pick(*part, type)) send(*mg, *part, type, *card);
+        if (const auto* card = pick(*part, type, mg->budget_ends - post_.now)) send(*mg, *part, type, *card);
     }
 
     void take(const SendOver& over) {
@@ -568,7 +568,8 @@
     Time shortest_wait(const PartState& part) const {
         Time shortest = std::numeric_limits<Time>::max();
         for (const auto& [id, card] : cards_) {
-            if (holds(card, part.told.shard) && !card.aside) shortest = std::min(shortest, card.wait);
+            if (!holds(card, part.told.shard) || card.aside || card.room < 1) continue;
+            shortest = std::min(shortest, card.wait);
         }
         return shortest;
     }
@@ -585,9 +586,10 @@
     }
 
     // The picker: of the replicas that hold the shard the one with the fewest of this node's calls out, ties
-    // at random. Replicas set aside or on trial come last, and never first for what cannot be sent again;
-    // a further send goes only where there is credit, not where the part was before, and within the budget.
-    const Card* pick(const PartState& part, const OpType& type) {
+    // at random. Replicas that are set aside, on trial, or too slow for the time left come last, and never
+    // first for what cannot be sent again; a further send goes only where there is credit, not where the part
+    // was before, and within the budget.
+    const Card* pick(const PartState& part, const OpType& type, Time left) {
         const bool is_further = !part.sends.empty();
         if (is_further && !budget_.allows(post_.now)) return nullptr;
         std::vector<const Card*> best;
@@ -596,8 +598,9 @@
             if (!holds(card, part.told.shard) || card.room < 1) continue;
             if (is_further && (card.credit < 1 || card.aside || was_at(part, id))) continue;
             const bool testing = card.on_trial && type.repeat == Repeat::kRetriable;
-            const std::array<int, 3> rank{card.aside ? 2 : (card.on_trial && !testing ? 1 : 0),
-                                          card.calls_out, card.parts_out};
+            const bool too_slow = card.wait > static_cast<Time>(kHopeful * static_cast<double>(left));
+            const int last = card.aside ? 2 : ((card.on_trial && !testing) || too_slow ? 1 : 0);
+            const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
             if (best.empty() || rank < lowest) {
                 best.clear();
                 lowest = rank;
@@ -630,7 +633,7 @@
     void further(MultigetState& mg, PartState& part) {
         const auto& type = op_types_.at(static_cast<std::size_t>(mg.told.op_type));
         if (type.repeat == Repeat::kNonRetriable || !may_send(part, type)) return;
-        const auto* card = pick(part, type);
+        const auto* card = pick(part, type, mg.budget_ends - post_.now);
         if (card == nullptr) return;
         if (sends_.second_copies) return send(mg, part, type, *card);
         part.further_wanted = false;
