Give cold servers what warm ones are seen to bear, times the stated multiple

Change: the rate is 0.6 of the stated multiple, times the least warmth by now, of the answers that this node has of one warm server (or of one core's even share, where that is more); room gathers for half a span. In any span that is at most nine tenths of the multiple. Also: the hopeful share of the time left is 0.5, and late answers that still earn lengthen that time by their share. May harm: uneven traffic between front nodes uses the even share badly.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -133,6 +133,7 @@
         // copies would make that worse.
         constexpr double kFarBehind = 2.5;
         usual_cost_ = pace.quick;
+        borne_ = pace.borne;
         slow_ = std::max(silence_, static_cast<Time>(kFarBehind * pace.mean));
     }
 
@@ -169,7 +170,7 @@
                 heard_ = post_.now;
                 errors_ -= errors_ * kErrorStep;
                 credit_ = std::min(kMostCredit, credit_ + kEarned);
-                post_.pulse.push_back(Took{ended.took});
+                post_.pulse.push_back(Took{id_, ended.took, !is_cold()});
                 see_wait(ended.took, false);
                 // An answer ends the doubt that silence raised; only time ends the one that errors raised.
                 if (standing_ == Standing::kTrial || (aside && silent_)) standing_ = Standing::kGood;
@@ -251,16 +252,18 @@
 
     bool is_cold() const { return started_ > 0 && post_.now < started_ + cold_.warm_after; }
 
-    // Guards a cold server: it may be sent, in parts, this node's even share of half of what a server with
-    // one core would bear at its present warmth. Room gathers with time, so no burst spends the allowance at
-    // once.
+    // Guards a cold server: it may be sent, in parts, six tenths of the stated multiple, at its least
+    // warmth by now, of what warm servers are seen to bear of this node's parts, or of this node's even share
+    // of what one core bears. Room gathers with time, up to half a span's, so no burst spends the allowance
+    // at once.
     void fill_cold_room() {
         if (!is_cold()) return;
-        constexpr double kSafety = 1.0 / 2;
+        constexpr double kSafety = 0.6;  // with half a span's room saved up, nine tenths in any span
         const double age = static_cast<double>(post_.now - started_) / static_cast<double>(cold_.warm_after);
         const double warmth = cold_.from + (1 - cold_.from) * std::clamp(age, 0.0, 1.0);
-        const double rate = kSafety * cold_.fall_multiple * warmth / usual_cost_ / front_nodes_;
-        const double most = std::max(1.0, rate * static_cast<double>(cold_.tip_after) * kSafety);
+        const double bears = std::max(borne_, 1 / usual_cost_ / front_nodes_);
+        const double rate = kSafety * cold_.fall_multiple * warmth * bears;
+        const double most = std::max(1.0, rate * static_cast<double>(cold_.tip_after) / 2);
         cold_room_ = std::min(most, cold_room_ + rate * static_cast<double>(post_.now - room_filled_));
         room_filled_ = post_.now;
     }
@@ -311,6 +314,7 @@
     double credit_ = 2;
     Time started_ = 0;
     double usual_cost_;
+    double borne_ = 0;
     double cold_room_ = 0;
     Time room_filled_ = 0;
 };
@@ -321,7 +325,7 @@
 public:
     Pulse(Post& post, Time shortest_budget)
         : post_(post),
-          pace_{static_cast<double>(shortest_budget) / 8, static_cast<double>(shortest_budget) / 4} {}
+          pace_{static_cast<double>(shortest_budget) / 8, static_cast<double>(shortest_budget) / 4, 0} {}
 
     void take(const Strain& strain) {
         ++ended_;
@@ -330,11 +334,14 @@
         pressed_servers_.insert(strain.server);
     }
 
-    void take(const Took& took) {  // the quick one is the tenth in a hundred, which queues move little
+    void take(const Took& took) {  // the quick one is the lower quartile, which queues move little
         const auto t = static_cast<double>(took.took);
-        pace_.quick += pace_.quick / 32 * (t > pace_.quick ? 1.0 / 9 : -1);
+        pace_.quick += pace_.quick / 32 * (t > pace_.quick ? 1.0 / 3 : -1);
         pace_.quick = std::max(pace_.quick, 10.0);
         pace_.mean += (t - pace_.mean) / 32;
+        if (!took.warm) return;
+        ++borne_;
+        bearing_.insert(took.server);
     }
 
     void take(const Weighed& weighed) {
@@ -358,9 +365,16 @@
         }
         if (before == 0 && alpha_ > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
         if (alpha_ != before) post_.desk.push_back(Alpha{alpha_});
-        for (auto& [id, inbox] : post_.servers) inbox.push_back(pace_);
+
+        if (!bearing_.empty()) {
+            const double borne = borne_ / static_cast<double>(bearing_.size()) / kWindow;
+            pace_.borne += (borne - pace_.borne) / 8;
+        }
+        borne_ = 0;
+        bearing_.clear();
         ended_ = pressing_ = 0;
         pressed_servers_.clear();
+        for (auto& [id, inbox] : post_.servers) inbox.push_back(pace_);
     }
 
 private:
@@ -377,6 +391,8 @@
     int pressing_ = 0;
     int ready_ = 0;
     std::set<ServerId> pressed_servers_;
+    std::set<ServerId> bearing_;
+    int borne_ = 0;
     double mean_weight_ = 0;
     double alpha_ = 0;
     Pace pace_;
@@ -512,7 +528,7 @@
 private:
     using Stage = PartState::Stage;
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
-    static constexpr double kHopeful = 0.6;       // of the time left that an expected wait may take
+    static constexpr double kHopeful = 0.5;       // of the time left that an expected wait may take
 
     // A try that ends sooner than tries of its op type usually do ends with its client's whole time, which
     // tells when that client began: repeats are not taken for new work that still has all its budget.
@@ -541,9 +557,12 @@
         std::sort(order.begin(), order.end());
         double covered = 0;
         double hopeful = 0;
-        const Time left = mg.budget_ends - post_.now;
+        // A late answer that still earns something lengthens the time by that share.
+        const Time late = mg.answer_by - mg.budget_ends;
+        const double left = static_cast<double>(mg.budget_ends - post_.now) +
+                            type.late_importance * static_cast<double>(late);
         for (const auto& part : mg.parts) {
-            if (shortest_wait(part) <= static_cast<Time>(kHopeful * left)) hopeful += part.told.weight;
+            if (static_cast<double>(shortest_wait(part)) <= kHopeful * left) hopeful += part.told.weight;
         }
         // What cannot be answered in time is pushed back before any part is sent: parts that end too late to
         // serve an answer still take their servers' time, and under load that makes the next ones late too.
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -23,6 +23,7 @@
 struct Pace {          // how long answers take lately, over all index servers
     double quick = 0;  // one that hardly waited
     double mean = 0;
+    double borne = 0;  // answers in a tenth of a millisecond that this node has of one warm server
 };
 struct Card {  // what an index server lets the desk know of itself
     ServerId server;
@@ -50,8 +51,10 @@
     ServerId server;
     bool pressing = false;
 };
-struct Took {
+struct Took {  // an answer came
+    ServerId server;
     Time took = 0;
+    bool warm = false;
 };
 struct Weighed {  // a multiget that may be answered in part came with this mean weight of its parts
     double mean = 0;
