Raise the cold allowance to 0.9 of the multiple warm servers are seen to bear

May harm: on a site whose cold servers start at the stated least and whose front nodes all spend at once, the margin is what this node's answers fall short of the servers' full capacity.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -258,7 +258,7 @@
     // at once.
     void fill_cold_room() {
         if (!is_cold()) return;
-        constexpr double kSafety = 0.6;  // with half a span's room saved up, nine tenths in any span
+        constexpr double kSafety = 0.9;
         const double age = static_cast<double>(post_.now - started_) / static_cast<double>(cold_.warm_after);
         const double warmth = cold_.from + (1 - cold_.from) * std::clamp(age, 0.0, 1.0);
         const double bears = std::max(borne_, 1 / usual_cost_ / front_nodes_);
