--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -44,22 +44,26 @@
         }
         if (news.kind != ListKind::kSaved) watching_ = true;
         if (news.kind != ListKind::kChanges) {
-            for (const auto& [id, state] : listed_) post_.servers[id].push_back(Unlisted{});
+            for (auto& [id, entry] : listed_) {
+                entry.state = ServerState::kGone;
+                post_.servers[id].push_back(entry);
+            }
             listed_.clear();
         }
         for (const auto& entry : news.entries) {
-            listed_[entry.server] = entry.state;
+            listed_[entry.server] = entry;
             post_.servers[entry.server].push_back(entry);
         }
-        const auto ready = std::count_if(listed_.begin(), listed_.end(),
-                                         [](const auto& it) { return it.second == ServerState::kReady; });
+        const auto ready = std::count_if(listed_.begin(), listed_.end(), [](const auto& it) {
+            return it.second.state == ServerState::kReady;
+        });
         post_.pulse.push_back(Fleet{static_cast<int>(ready)});
     }
 
 private:
     Post& post_;
     const ListTerms terms_;
-    std::map<ServerId, ServerState> listed_;
+    std::map<ServerId, ListEntry> listed_;
     bool watching_ = false;
     Time ask_at_ = 0;
 };
@@ -70,27 +74,24 @@
 public:
     IndexServer(Post& post, ServerId id, ColdTerms cold, int front_nodes, int parts_per_call,
                 Time shortest_budget)
-        : post_(post),
-          id_(id),
-          cold_(cold),
-          front_nodes_(front_nodes),
-          parts_per_call_(parts_per_call),
-          silence_(shortest_budget / 3),
-          slow_(shortest_budget / 2),
-          aside_for_(shortest_budget),
-          usual_cost_(static_cast<double>(shortest_budget) / 8) {}
+        : post_(post), id_(id), cold_(cold), front_nodes_(front_nodes), parts_per_call_(parts_per_call),
+          silence_(shortest_budget / 3), aside_for_(shortest_budget) {
+        s_.slow = silence_;
+        s_.usual_cost = static_cast<double>(shortest_budget) / 8;
+        s_.credit = 2;
+    }
 
     void take(const Tick&) {
-        if (standing_ == Standing::kAside && post_.now >= aside_until_) {
-            standing_ = Standing::kTrial;
-            trial_used_ = false;
-            heard_ = post_.now;
+        if (s_.standing == Standing::kAside && post_.now >= s_.aside_until) {
+            s_.standing = Standing::kTrial;
+            s_.trial_used = false;
+            s_.heard = post_.now;
         }
         fill_cold_room();
         look_for_silence();
-        for (auto& [key, out] : out_) {
+        for (auto& [key, out] : s_.out) {
             if (post_.now < out.overdue_at) continue;
-            if (!std::exchange(out.strained, true) && standing_ == Standing::kGood) {
+            if (!std::exchange(out.strained, true) && s_.standing == Standing::kGood) {
                 post_.pulse.push_back(Strain{id_, true});
             }
         }
@@ -98,32 +99,27 @@
     }
 
     void take(const ListEntry& entry) {
-        if (entry.state == ServerState::kReady && entry.started > started_) {
-            cold_room_ = 0;
-            room_filled_ = post_.now;
+        if (entry.state == ServerState::kReady && entry.started > s_.started) {
+            s_.cold_room = 0;
+            s_.room_filled = post_.now;
         }
-        entry_ = entry;
-        started_ = std::max(started_, entry.started);
-        publish();
-    }
-
-    void take(const Unlisted&) {
-        entry_.state = ServerState::kGone;
+        s_.entry = entry;
+        s_.started = std::max(s_.started, entry.started);
         publish();
     }
 
     void take(const Order& order) {
-        if (call_turn_ != post_.now || call_parts_ >= parts_per_call_) {
-            call_turn_ = post_.now;
-            call_parts_ = 0;
-            ++call_;
+        if (s_.call_turn != post_.now || s_.call_parts >= parts_per_call_) {
+            s_.call_turn = post_.now;
+            s_.call_parts = 0;
+            ++s_.call;
         }
-        ++call_parts_;
-        ++calls_out_[call_];
-        out_[{order.part, order.send}] = {post_.now, post_.now + order.patience, call_, false, false};
-        if (is_cold()) cold_room_ -= 1;
-        if (order.further) credit_ -= 1;
-        if (standing_ == Standing::kTrial) trial_used_ = true;
+        ++s_.call_parts;
+        ++s_.calls_out[s_.call];
+        s_.out[{order.part, order.send}] = {post_.now, post_.now + order.patience, s_.call, false};
+        if (is_cold()) s_.cold_room -= 1;
+        if (order.further) s_.credit -= 1;
+        if (s_.standing == Standing::kTrial) s_.trial_used = true;
         post_.actions.emplace_back(Send{order.part, id_, order.try_for});
         publish();
     }
@@ -132,72 +128,62 @@
         // A wait is suspicious only when it is long beside what the others show: under load all are slow, and
         // copies would make that worse.
         constexpr double kFarBehind = 2.5;
-        usual_cost_ = pace.quick;
-        borne_ = pace.borne;
-        slow_ = std::max(silence_, static_cast<Time>(kFarBehind * pace.mean));
+        s_.usual_cost = pace.quick;
+        s_.borne = pace.borne;
+        s_.slow = std::max(silence_, static_cast<Time>(kFarBehind * pace.mean));
     }
 
     void take(const SendEnded& ended) {
-        const auto it = out_.find({ended.part, ended.send});
-        if (it != out_.end()) {
+        const auto it = s_.out.find({ended.part, ended.send});
+        if (it != s_.out.end()) {
             judge(ended, it->second);
-            if (--calls_out_[it->second.call] == 0) calls_out_.erase(it->second.call);
-            out_.erase(it);
+            if (--s_.calls_out[it->second.call] == 0) s_.calls_out.erase(it->second.call);
+            s_.out.erase(it);
         }
         post_.desk.push_back(SendOver{ended.part, ended.send, ended.outcome});
         publish();
     }
 
 private:
-    enum class Standing { kGood, kAside, kTrial };
-    struct OutSend {
-        Time sent = 0;
-        Time overdue_at = 0;
-        int call = 0;
-        bool overdue = false;
-        bool strained = false;
-    };
-    using SendKey = std::pair<Id, int>;
-
     void judge(const SendEnded& ended, const OutSend& out) {
         constexpr double kErrorStep = 1.0 / 8;  // how fast errors, and answers after them, are believed
         constexpr double kErrorMark = 1.0 / 5;  // two errors on end: sound servers hardly ever show that
         constexpr double kEarned = 1.0 / 4;     // credit for an answer
         constexpr double kMostCredit = 8;
-        const bool aside = standing_ == Standing::kAside;
+        const bool aside = s_.standing == Standing::kAside;
         switch (ended.outcome) {
             case Outcome::kReturned:
-                heard_ = post_.now;
-                errors_ -= errors_ * kErrorStep;
-                credit_ = std::min(kMostCredit, credit_ + kEarned);
+                s_.heard = post_.now;
+                s_.errors -= s_.errors * kErrorStep;
+                s_.credit = std::min(kMostCredit, s_.credit + kEarned);
                 post_.pulse.push_back(Took{id_, ended.took, !is_cold()});
                 see_wait(ended.took, false);
                 // An answer ends the doubt that silence raised; only time ends the one that errors raised.
-                if (standing_ == Standing::kTrial || (aside && silent_)) standing_ = Standing::kGood;
+                if (s_.standing == Standing::kTrial || (aside && s_.silent)) s_.standing = Standing::kGood;
                 break;
             case Outcome::kError:
-                heard_ = post_.now;
-                errors_ += (1 - errors_) * kErrorStep;
-                credit_ = std::max(0.0, credit_ - 1);
-                if (errors_ > kErrorMark || standing_ == Standing::kTrial) set_aside(false, "errors");
+                s_.heard = post_.now;
+                s_.errors += (1 - s_.errors) * kErrorStep;
+                s_.credit = std::max(0.0, s_.credit - 1);
+                if (s_.errors > kErrorMark || s_.standing == Standing::kTrial) set_aside(false, "errors");
                 break;
             case Outcome::kFull:
-                heard_ = post_.now;
-                credit_ = 0;
+                s_.heard = post_.now;
+                s_.credit = 0;
                 break;
             case Outcome::kNoConnection:
             case Outcome::kReset:
                 // A process that was down comes back cold, whether or not the list says so in time.
-                credit_ = 0;
-                started_ = post_.now;
-                cold_room_ = 0;
-                room_filled_ = post_.now;
+                s_.credit = 0;
+                s_.started = post_.now;
+                s_.cold_room = 0;
+                s_.room_filled = post_.now;
                 set_aside(false, "no connection");
                 break;
             case Outcome::kTimedOut:
-                credit_ = std::max(0.0, credit_ - 1);
+                s_.credit = std::max(0.0, s_.credit - 1);
                 see_wait(ended.took, true);
-                if (standing_ == Standing::kTrial) set_aside(true, "trial timed out");
+                if (s_.standing == Standing::kTrial) set_aside(true, "trial timed out");
                 break;
             case Outcome::kCancelled: see_wait(ended.took, true); return;
             case Outcome::kNeverSent: return;
@@ -210,47 +196,42 @@
     // The wait that this node's latest answers showed, less the time since, in which a queue that nobody adds
     // to would have shrunk; at least the age of the oldest send that is still out.
     Time expected_wait() const {
-        Time wait = std::max<Time>(0, wait_ - (post_.now - wait_seen_));
-        if (standing_ == Standing::kAside) return wait;
-        for (const auto& [key, out] : out_) wait = std::max(wait, post_.now - out.sent);
+        Time wait = std::max<Time>(0, s_.wait - (post_.now - s_.wait_seen));
+        if (s_.standing == Standing::kAside) return wait;
+        for (const auto& [key, out] : s_.out) wait = std::max(wait, post_.now - out.sent);
         return wait;
     }
 
     void see_wait(Time took, bool at_least) {
-        const Time before = std::max<Time>(0, wait_ - (post_.now - wait_seen_));
+        const Time before = std::max<Time>(0, s_.wait - (post_.now - s_.wait_seen));
         if (at_least && took <= before) return;
-        wait_ = before + (took - before) / 4;
-        wait_seen_ = post_.now;
+        s_.wait = before + (took - before) / 4;
+        s_.wait_seen = post_.now;
     }
 
     // Guards against a server that takes work and answers nothing, whatever ails it: a hang, a cut link, a
     // zone gone without word, a process that stands still. A live one with work in hand is heard from often.
     void look_for_silence() {
-        if (out_.empty() || standing_ == Standing::kAside) return;
+        if (s_.out.empty() || s_.standing == Standing::kAside) return;
         Time oldest = post_.now;
-        for (const auto& [key, out] : out_) oldest = std::min(oldest, out.sent);
-        if (post_.now - std::max(heard_, oldest) < slow_ * 3 / 2) return;
+        for (const auto& [key, out] : s_.out) oldest = std::min(oldest, out.sent);
+        if (post_.now - std::max(s_.heard, oldest) < s_.slow * 3 / 2) return;
         set_aside(true, "silence");
-        for (auto& [key, out] : out_) overdue(key, out);
-    }
-
-    void overdue(const SendKey& key, OutSend& out) {
-        if (std::exchange(out.overdue, true)) return;
-        post_.desk.push_back(Overdue{key.first, key.second});
+        for (const auto& [key, out] : s_.out) post_.desk.push_back(Overdue{key.first, key.second});
     }
 
     void set_aside(bool silent, const char* why) {
-        if (standing_ == Standing::kGood) {
+        if (s_.standing == Standing::kGood) {
             post_.actions.emplace_back(
                 LogLine{"aside " + std::to_string(id_.address & 0xffffU) + ": " + why});
         }
-        standing_ = Standing::kAside;
-        silent_ = silent;
-        errors_ = 0;
-        aside_until_ = post_.now + aside_for_ + post_.random_part(aside_for_ / 2);
+        s_.standing = Standing::kAside;
+        s_.silent = silent;
+        s_.errors = 0;
+        s_.aside_until = post_.now + aside_for_ + post_.random_part(aside_for_ / 2);
     }
 
-    bool is_cold() const { return started_ > 0 && post_.now < started_ + cold_.warm_after; }
+    bool is_cold() const { return s_.started > 0 && post_.now < s_.started + cold_.warm_after; }
 
     // Guards a cold server: it may be sent, in parts, six tenths of the stated multiple, at its least
     // warmth by now, of what warm servers are seen to bear of this node's parts, or of this node's even share
@@ -259,32 +240,29 @@
     void fill_cold_room() {
         if (!is_cold()) return;
         constexpr double kSafety = 0.9;
-        const double age = static_cast<double>(post_.now - started_) / static_cast<double>(cold_.warm_after);
+        const double age =
+            static_cast<double>(post_.now - s_.started) / static_cast<double>(cold_.warm_after);
         const double warmth = cold_.from + (1 - cold_.from) * std::clamp(age, 0.0, 1.0);
-        const double bears = std::max(borne_, 1 / usual_cost_ / front_nodes_);
+        const double bears = std::max(s_.borne, 1 / s_.usual_cost / front_nodes_);
         const double rate = kSafety * cold_.fall_multiple * warmth * bears;
         const double most = std::max(1.0, rate * static_cast<double>(cold_.tip_after) / 2);
-        cold_room_ = std::min(most, cold_room_ + rate * static_cast<double>(post_.now - room_filled_));
-        room_filled_ = post_.now;
+        s_.cold_room = std::min(most, s_.cold_room + rate * static_cast<double>(post_.now - s_.room_filled));
+        s_.room_filled = post_.now;
     }
 
     void publish() {
         constexpr int kAmple = 1 << 20;
 
-        Card card{id_,
-                  entry_.place,
-                  entry_.state == ServerState::kReady,
-                  standing_ == Standing::kAside,
-                  standing_ == Standing::kTrial,
-                  static_cast<int>(calls_out_.size()),
-                  static_cast<int>(out_.size()),
-                  kAmple,
-                  credit_};
-        if (is_cold()) card.room = static_cast<int>(std::max(0.0, cold_room_));
-        if (card.on_trial) card.room = std::min(card.room, trial_used_ ? 0 : 1);
+        Card card{id_, s_.entry.place, s_.entry.state == ServerState::kReady, s_.standing};
+        card.calls_out = static_cast<int>(s_.calls_out.size());
+        card.parts_out = static_cast<int>(s_.out.size());
+        card.room = kAmple;
+        card.credit = s_.credit;
+        if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
+        if (s_.standing == Standing::kTrial) card.room = std::min(card.room, s_.trial_used ? 0 : 1);
         card.wait = expected_wait();
-        if (card == shown_) return;
-        shown_ = card;
+        if (card == s_.shown) return;
+        s_.shown = card;
         post_.cards.push_back(card);
     }
 
@@ -294,87 +272,66 @@
     const int front_nodes_;
     const int parts_per_call_;
     const Time silence_;
-    Time slow_;
     const Time aside_for_;
-    ListEntry entry_;
-    Card shown_;
-    std::map<SendKey, OutSend> out_;
-    std::map<int, int> calls_out_;
-    int call_ = 0;
-    int call_parts_ = 0;
-    Time call_turn_ = -1;
-    Standing standing_ = Standing::kGood;
-    bool silent_ = false;
-    bool trial_used_ = false;
-    Time aside_until_ = 0;
-    Time heard_ = 0;
-    Time wait_ = 0;
-    Time wait_seen_ = 0;
-    double errors_ = 0;
-    double credit_ = 2;
-    Time started_ = 0;
-    double usual_cost_;
-    double borne_ = 0;
-    double cold_room_ = 0;
-    Time room_filled_ = 0;
+    IndexServerState s_;
 };
 
 // ---- Pulse
 
 class Pulse {
 public:
-    Pulse(Post& post, Time shortest_budget)
-        : post_(post),
-          pace_{static_cast<double>(shortest_budget) / 8, static_cast<double>(shortest_budget) / 4, 0} {}
+    Pulse(Post& post, Time shortest_budget) : post_(post) {
+        s_.pace = {static_cast<double>(shortest_budget) / 8, static_cast<double>(shortest_budget) / 4, 0};
+    }
 
     void take(const Strain& strain) {
-        ++ended_;
+        ++s_.ended;
         if (!strain.pressing) return;
-        ++pressing_;
-        pressed_servers_.insert(strain.server);
+        ++s_.pressing;
+        s_.pressed_servers.insert(strain.server);
     }
 
     void take(const Took& took) {  // the quick one is the lower quartile, which queues move little
         const auto t = static_cast<double>(took.took);
-        pace_.quick += pace_.quick / 32 * (t > pace_.quick ? 1.0 / 3 : -1);
-        pace_.quick = std::max(pace_.quick, 10.0);
-        pace_.mean += (t - pace_.mean) / 32;
+        s_.pace.quick += s_.pace.quick / 32 * (t > s_.pace.quick ? 1.0 / 3 : -1);
+        s_.pace.quick = std::max(s_.pace.quick, 10.0);
+        s_.pace.mean += (t - s_.pace.mean) / 32;
         if (!took.warm) return;
-        ++borne_;
-        bearing_.insert(took.server);
+        ++s_.borne;
+        s_.bearing.insert(took.server);
     }
 
     void take(const Weighed& weighed) {
-        mean_weight_ += (weighed.mean - mean_weight_) / (mean_weight_ > 0 ? 8 : 1);
+        s_.mean_weight += (weighed.mean - s_.mean_weight) / (s_.mean_weight > 0 ? 8 : 1);
     }
-    void take(const Fleet& fleet) { ready_ = fleet.ready; }
+    void take(const Fleet& fleet) { s_.ready = fleet.ready; }
 
     void take(const Tick&) {
-        if (post_.now < window_ends_) return;
-        window_ends_ = post_.now + kWindow;
+        if (post_.now < s_.window_ends) return;
+        s_.window_ends = post_.now + kWindow;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
-        const bool widespread = static_cast<int>(pressed_servers_.size()) * kFewServers > ready_;
-        const bool pressed = ended_ >= kLeastEnded && pressing_ > kMark * ended_ && widespread;
-        const double before = alpha_;
-        const double step = kStep * mean_weight_;
+        const bool widespread = static_cast<int>(s_.pressed_servers.size()) * kFewServers > s_.ready;
+        const bool pressed = s_.ended >= kLeastEnded && s_.pressing > kMark * s_.ended && widespread;
+        const double before = s_.alpha;
+        const double step = kStep * s_.mean_weight;
         if (pressed) {
-            alpha_ = std::clamp(alpha_ * 2, step, kCap * mean_weight_);
-        } else if (pressing_ <= kMark * ended_ || ended_ < kLeastEnded) {
-            alpha_ = std::max(0.0, alpha_ - step);
+            s_.alpha = std::clamp(s_.alpha * 2, step, kCap * s_.mean_weight);
+        } else if (s_.pressing <= kMark * s_.ended || s_.ended < kLeastEnded) {
+            s_.alpha = std::max(0.0, s_.alpha - step);
         }
-        if (before == 0 && alpha_ > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
-        if (alpha_ != before) post_.desk.push_back(Alpha{alpha_});
+        if (before == 0 && s_.alpha > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
+        if (s_.alpha != before) post_.desk.push_back(Alpha{s_.alpha});
 
-        if (!bearing_.empty()) {
-            const double borne = borne_ / static_cast<double>(bearing_.size()) / kWindow;
-            pace_.borne += (borne - pace_.borne) / 8;
+        if (!s_.bearing.empty()) {
+            const double borne = s_.borne / static_cast<double>(s_.bearing.size()) / kWindow;
+            s_.pace.borne += (borne - s_.pace.borne) / 8;
         }
-        borne_ = 0;
-        bearing_.clear();
-        ended_ = pressing_ = 0;
-        pressed_servers_.clear();
-        for (auto& [id, inbox] : post_.servers) inbox.push_back(pace_);
+        s_.borne = 0;
+        s_.bearing.clear();
+        s_.ended = s_.pressing = 0;
+        s_.pressed_servers.clear();
+        for (auto& [id, inbox] : post_.servers) inbox.push_back(s_.pace);
     }
 
 private:
@@ -387,70 +344,63 @@
     static constexpr int kFewServers = 4;  // a quarter of the ready ones
 
     Post& post_;
-    int ended_ = 0;
-    int pressing_ = 0;
-    int ready_ = 0;
-    std::set<ServerId> pressed_servers_;
-    std::set<ServerId> bearing_;
-    int borne_ = 0;
-    double mean_weight_ = 0;
-    double alpha_ = 0;
-    Pace pace_;
-    Time window_ends_ = 0;
+    PulseState s_;
 };
 
 // ---- Desk
 
-// Keeps further sends within the stated few plus the stated share of what was taken lately.
+// Keeps further sends within the stated few plus the stated share of what was taken in the same time.
 class FurtherBudget {
 public:
     FurtherBudget(FurtherSendTerms terms, Time turn) : terms_(terms), slack_(turn) {}
-    void taken(Time now, int count) {
-        taken_.emplace_back(now, count);
-        taken_sum_ += count;
-    }
-    void spent(Time now) { spent_.push_back(now); }
-    bool allows(Time now) {
-        if (terms_.look_back == 0) return true;
-        while (!taken_.empty() && taken_.front().first <= now - terms_.look_back + slack_) {
-            taken_sum_ -= taken_.front().second;
-            taken_.pop_front();
+
+    void note(Time now, int taken, int sent) {
+        if (terms_.look_back == 0) return;
+        while (!log_.empty() && log_.front().at < now - terms_.look_back - slack_) log_.pop_front();
+        log_.push_back({now, taken, sent});
+    }
+
+    bool allows(Time now) const {  // a turn too early or too late counts against it
+        double room = terms_.floor;
+        for (const auto& entry : log_) {
+            if (entry.at > now - terms_.look_back + slack_) room += terms_.ratio * entry.taken;
+            if (entry.at >= now - terms_.look_back - slack_) room -= entry.sent;
         }
-        while (!spent_.empty() && spent_.front() < now - terms_.look_back - slack_) spent_.pop_front();
-        return static_cast<double>(spent_.size() + 1) <= terms_.floor + terms_.ratio * taken_sum_;
+        return terms_.look_back == 0 || room >= 1;
     }
 
 private:
+    struct Entry {
+        Time at;
+        int taken;
+        int sent;
+    };
     const FurtherSendTerms terms_;
     const Time slack_;
-    std::deque<std::pair<Time, int>> taken_;
-    std::deque<Time> spent_;
-    int taken_sum_ = 0;
+    std::deque<Entry> log_;
 };
 
 class Desk {
 public:
     Desk(Post& post, std::vector<OpType> op_types, ShardRing ring, SendTerms sends, FurtherSendTerms further,
          ClientTerms clients, Time turn)
-        : post_(post),
-          op_types_(std::move(op_types)),
-          ring_(ring),
-          sends_(sends),
-          clients_(clients),
-          turn_(turn),
-          budget_(further, turn),
-          longest_try_(op_types_.size(), 0.0) {}
-
-    bool idle() const { return multigets_.empty(); }
-    void take(const Card& card) { cards_[card.server] = card; }
-    void take(const Alpha& alpha) { alpha_ = alpha.value; }
+        : post_(post), op_types_(std::move(op_types)), ring_(ring), sends_(sends), clients_(clients),
+          turn_(turn), budget_(further, turn) {
+        s_.longest_try.resize(op_types_.size());
+    }
+
+    using Stage = PartState::Stage;
+
+    bool idle() const { return s_.multigets.empty(); }
+    void take(const Card& card) { s_.cards[card.server] = card; }
+    void take(const Alpha& alpha) { s_.alpha = alpha.value; }
 
     void take(const MultigetArrival& told) {
-        budget_.taken(post_.now, 1 + static_cast<int>(told.parts.size()));
-        auto& mg = multigets_[told.id];
+        budget_.note(post_.now, 1 + static_cast<int>(told.parts.size()), 0);
+        auto& mg = s_.multigets[told.id];
         mg.told = told;
         mg.told.parts.clear();
-        const auto& type = op_types_.at(static_cast<std::size_t>(told.op_type));
+        const auto& type = type_of(told);
         mg.answer_by = told.not_after - 2 * turn_;
         mg.budget_ends = std::min(mg.answer_by, client_start(told, type) + type.latency_budget - 4 * turn_);
         add_parts(mg, told.parts);
@@ -462,9 +412,9 @@
     }
 
     void take(const SecondStep& step) {
-        for (auto& [id, mg] : multigets_) {
+        for (auto& [id, mg] : s_.multigets) {
             if (!mg.awaiting_step || mg.told.number != step.number) continue;
-            budget_.taken(post_.now, static_cast<int>(step.parts.size()));
+            budget_.note(post_.now, static_cast<int>(step.parts.size()), 0);
             mg.awaiting_step = false;
             add_parts(mg, step.parts);
             for (const auto& part : mg.parts) post_.desk.push_back(PlacePart{part.told.id});
@@ -474,9 +424,12 @@
 
     void take(const PlacePart& note) {
         auto [mg, part] = find(note.part);
-        if (part == nullptr || part->stage != PartState::Stage::kWaiting) return;
-        const auto& type = op_types_.at(static_cast<std::size_t>(mg->told.op_type));
-        if (!may_send(*part, type)) return lose_part(*mg, *part);
+        if (part == nullptr || part->stage != Stage::kWaiting) return;
+        const auto& type = type_of(mg->told);
+        if (!may_send(*part, type)) {
+            part->stage = Stage::kLost;
+            return review(*mg);
+        }
         if (const auto* card = pick(*part, type, mg->budget_ends - post_.now)) send(*mg, *part, type, *card);
     }
 
@@ -489,35 +442,43 @@
                             over.outcome != Outcome::kNeverSent;
         if (!part->open()) return;
         if (over.outcome == Outcome::kReturned) {
-            part->stage = PartState::Stage::kIn;
+            part->stage = Stage::kIn;
             call_off_rest(*part);
             return review(*mg);
         }
         if (part->any_out()) return;  // a copy is still under way
-        part->stage = PartState::Stage::kWaiting;
+        part->stage = Stage::kWaiting;
         part->further_wanted = false;
         take(PlacePart{over.part});
     }
 
+    // An overdue part gets a second copy where those are allowed; else its send is called off, and another
+    // follows once that is confirmed. Without a replica that has credit it is left to run, and asked about
+    // again.
     void take(const Overdue& note) {
         auto [mg, part] = find(note.part);
-        if (part == nullptr || part->stage != PartState::Stage::kOut) return;
-        part->further_wanted = true;
-        further(*mg, *part);
+        if (part == nullptr || part->stage != Stage::kOut) return;
+        const auto& type = type_of(mg->told);
+        part->further_wanted = type.repeat != Repeat::kNonRetriable && may_send(*part, type);
+        const auto* card = part->further_wanted ? pick(*part, type, mg->budget_ends - post_.now) : nullptr;
+        if (card == nullptr) return;
+        if (sends_.second_copies) return send(*mg, *part, type, *card);
+        part->further_wanted = false;
+        call_off_rest(*part);
     }
 
     void take(const ClientLeft& left) {
-        const auto it = multigets_.find(left.multiget);
-        if (it != multigets_.end()) forget(it->second);
+        const auto it = s_.multigets.find(left.multiget);
+        if (it != s_.multigets.end()) forget(it->second);
     }
 
     void take(const Tick&) {
         std::vector<Id> ids;
-        for (const auto& [id, mg] : multigets_) ids.push_back(id);
+        for (const auto& [id, mg] : s_.multigets) ids.push_back(id);
         for (const Id id : ids) {
-            review(multigets_.at(id));
-            const auto it = multigets_.find(id);  // what has just ended gets no more sends
-            if (it == multigets_.end()) continue;
+            review(s_.multigets.at(id));
+            const auto it = s_.multigets.find(id);  // what has just ended gets no more sends
+            if (it == s_.multigets.end()) continue;
             for (auto& part : it->second.parts) {
                 if (part.stage == Stage::kWaiting) post_.desk.push_back(PlacePart{part.told.id});
                 if (part.further_wanted) post_.desk.push_back(Overdue{part.told.id, 0});
@@ -526,24 +487,26 @@
     }
 
 private:
-    using Stage = PartState::Stage;
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
     static constexpr double kHopeful = 0.5;       // of the time left that an expected wait may take
 
     // A try that ends sooner than tries of its op type usually do ends with its client's whole time, which
     // tells when that client began: repeats are not taken for new work that still has all its budget.
     Time client_start(const MultigetArrival& told, const OpType& type) {
-        auto& longest = longest_try_.at(static_cast<std::size_t>(told.op_type));
-        const double span = static_cast<double>(told.not_after - post_.now);
-        longest = std::max(longest, span);
-        const bool cut_short = span < longest - static_cast<double>(type.latency_budget) / 20;
+        auto& longest = s_.longest_try.at(static_cast<std::size_t>(told.op_type));
+        longest = std::max(longest, told.not_after - post_.now);
+        const bool cut_short = told.not_after - post_.now < longest - type.latency_budget / 20;
         return cut_short ? std::min(post_.now, told.not_after - type.route_timeout) : post_.now;
     }
 
+    const OpType& type_of(const MultigetArrival& told) const {
+        return op_types_.at(static_cast<std::size_t>(told.op_type));
+    }
+
     void add_parts(MultigetState& mg, const std::vector<PartArrival>& parts) {
         mg.parts.clear();
         for (const auto& told : parts) {
-            part_of_[told.id] = {mg.told.id, mg.parts.size()};
+            s_.part_of[told.id] = {mg.told.id, mg.parts.size()};
             mg.parts.push_back({told, Stage::kWaiting, {}, false});
         }
     }
@@ -569,7 +532,7 @@
         if (hopeful + kRounding < type.least_share) return give_up(mg);
         for (const auto& [minus, i] : order) {
             auto& part = mg.parts[i];
-            if (type.least_share < type.whole_share && part.told.weight <= alpha_ && covered >= guard) {
+            if (type.least_share < type.whole_share && part.told.weight <= s_.alpha && covered >= guard) {
                 part.stage = Stage::kLeftOut;
                 continue;
             }
@@ -590,9 +553,9 @@
         constexpr Time kNone = std::numeric_limits<Time>::max();
         Time shortest = kNone;
         Time aside = kNone;
-        for (const auto& [id, card] : cards_) {
+        for (const auto& [id, card] : s_.cards) {
             if (!holds(card, part.told.shard) || card.room < 1) continue;
-            auto& which = card.aside ? aside : shortest;
+            auto& which = (card.standing == Standing::kAside) ? aside : shortest;
             which = std::min(which, card.wait);
         }
         return shortest == kNone ? aside : shortest;
@@ -618,12 +581,15 @@
         if (is_further && !budget_.allows(post_.now)) return nullptr;
         std::vector<const Card*> best;
         std::array<int, 3> lowest{};
-        for (const auto& [id, card] : cards_) {
+        for (const auto& [id, card] : s_.cards) {
             if (!holds(card, part.told.shard) || card.room < 1) continue;
-            if (is_further && (card.credit < 1 || card.aside || was_at(part, id))) continue;
-            const bool testing = card.on_trial && type.repeat == Repeat::kRetriable;
+            if (is_further && (card.credit < 1 || (card.standing == Standing::kAside) || was_at(part, id)))
+                continue;
+            const bool testing = (card.standing == Standing::kTrial) && type.repeat == Repeat::kRetriable;
             const bool too_slow = card.wait > static_cast<Time>(kHopeful * static_cast<double>(left));
-            const int last = card.aside ? 2 : ((card.on_trial && !testing) || too_slow ? 1 : 0);
+            const int last = (card.standing == Standing::kAside)
+                                 ? 2
+                                 : (((card.standing == Standing::kTrial) && !testing) || too_slow ? 1 : 0);
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
             if (best.empty() || rank < lowest) {
                 best.clear();
@@ -643,7 +609,7 @@
     void send(MultigetState& mg, PartState& part, const OpType& type, const Card& card) {
         const bool is_further = !part.sends.empty();
         const Time useful = type.late_importance > 0 ? mg.answer_by : mg.budget_ends;
-        if (is_further) budget_.spent(post_.now);
+        if (is_further) budget_.note(post_.now, 0, 1);
         part.stage = Stage::kOut;
         part.further_wanted = false;
         part.sends.push_back({card.server, post_.now, false, true});
@@ -652,18 +618,6 @@
                                                    type.latency_budget / 2, is_further});
     }
 
-    // An overdue part gets a second copy where those are allowed; else its send is called off, and another
-    // follows once that is confirmed. Without a replica that has credit it is left to run.
-    void further(MultigetState& mg, PartState& part) {
-        const auto& type = op_types_.at(static_cast<std::size_t>(mg.told.op_type));
-        if (type.repeat == Repeat::kNonRetriable || !may_send(part, type)) return;
-        const auto* card = pick(part, type, mg.budget_ends - post_.now);
-        if (card == nullptr) return;
-        if (sends_.second_copies) return send(mg, part, type, *card);
-        part.further_wanted = false;
-        call_off_rest(part);
-    }
-
     void call_off_rest(PartState& part) {
         if (!sends_.cancel) return;
         for (std::size_t i = 0; i < part.sends.size(); ++i) {
@@ -671,11 +625,6 @@
         }
     }
 
-    void lose_part(MultigetState& mg, PartState& part) {
-        part.stage = Stage::kLost;
-        review(mg);
-    }
-
     // Decides whether the multiget ends now. Every end passes here but a client's leaving.
     void review(MultigetState& mg) {
         if (mg.awaiting_step) {
@@ -683,7 +632,7 @@
             return;
         }
 
-        const auto& type = op_types_.at(static_cast<std::size_t>(mg.told.op_type));
+        const auto& type = type_of(mg.told);
         double in = 0;
         double pending = 0;
         bool all_in = true;
@@ -720,7 +669,7 @@
 
     // A pushback says that asking again is harmless: only where that is so. Else the multiget has failed.
     void give_up(MultigetState& mg) {
-        const auto& type = op_types_.at(static_cast<std::size_t>(mg.told.op_type));
+        const auto& type = type_of(mg.told);
         const bool harmless = type.repeat == Repeat::kRetriable ||
                               std::all_of(mg.parts.begin(), mg.parts.end(),
                                           [](const auto& part) { return part.all_proven_not_run(); });
@@ -736,20 +685,20 @@
     void drop_parts(MultigetState& mg) {
         for (auto& part : mg.parts) {
             if (part.any_out()) call_off_rest(part);
-            part_of_.erase(part.told.id);
+            s_.part_of.erase(part.told.id);
         }
         mg.parts.clear();
     }
 
     void forget(MultigetState& mg) {
         drop_parts(mg);
-        multigets_.erase(mg.told.id);
+        s_.multigets.erase(mg.told.id);
     }
 
     std::pair<MultigetState*, PartState*> find(Id id) {
-        const auto it = part_of_.find(id);
-        if (it == part_of_.end()) return {nullptr, nullptr};
-        auto& mg = multigets_.at(it->second.first);
+        const auto it = s_.part_of.find(id);
+        if (it == s_.part_of.end()) return {nullptr, nullptr};
+        auto& mg = s_.multigets.at(it->second.first);
         return {&mg, &mg.parts[it->second.second]};
     }
 
@@ -760,11 +709,7 @@
     const ClientTerms clients_;
     const Time turn_;
     FurtherBudget budget_;
-    std::map<Id, MultigetState> multigets_;
-    std::map<Id, std::pair<Id, std::size_t>> part_of_;
-    std::map<ServerId, Card> cards_;
-    std::vector<double> longest_try_;
-    double alpha_ = 0;
+    InstanceState s_;
 };
 
 Time shortest_budget(const std::vector<OpType>& op_types) {
@@ -782,12 +727,8 @@
 struct FrontNode::Parts {
     Parts(std::uint64_t seed, NodePlace at, std::vector<OpType> op_types, ShardRing shards, SendTerms sends,
           FurtherSendTerms further, ColdTerms cold_terms, ListTerms list, ClientTerms clients)
-        : place(at),
-          ring(shards),
-          cold(cold_terms),
-          shortest(shortest_budget(op_types)),
-          follower(post, list),
-          pulse(post, shortest),
+        : place(at), ring(shards), cold(cold_terms), shortest(shortest_budget(op_types)),
+          follower(post, list), pulse(post, shortest),
           desk(post, std::move(op_types), shards, sends, further, clients, at.turn) {
         post.chance.seed(static_cast<std::uint32_t>(seed ^ (seed >> 32U)));
     }
@@ -825,9 +766,8 @@
     void deliver(const MultigetArrival& told) { post.desk.push_back(told); }
     void deliver(const SecondStep& step) { post.desk.push_back(step); }
     void deliver(const ClientLeft& left) { post.desk.push_back(left); }
-    void deliver(const Probed&) {}
-    void deliver(const PeerWord&) {}
-    void deliver(const Bell&) {}
+    template <class Other>
+    void deliver(const Other&) {}  // bells only make a turn; probes and peers are not asked
 
     void ring_again() {
         const Time next = post.now + place.turn * (desk.idle() ? 20 : 2);
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -12,7 +13,6 @@
 namespace pinedoor {
 
 struct Tick {};
-struct Unlisted {};
 struct Order {  // send this part
     Id part = 0;
     int send = 0;
@@ -25,12 +25,12 @@
     double mean = 0;
     double borne = 0;  // answers in a tenth of a millisecond that this node has of one warm server
 };
+enum class Standing { kGood, kAside, kTrial };
 struct Card {  // what an index server lets the desk know of itself
     ServerId server;
     int place = 0;
     bool listed_ready = false;
-    bool aside = false;
-    bool on_trial = false;
+    Standing standing = Standing::kGood;
     int calls_out = 0;
     int parts_out = 0;
     int room = 0;  // parts it may be sent now
@@ -69,7 +69,8 @@
     Id part = 0;
 };
 
-using ServerNote = std::variant<Tick, ListEntry, Unlisted, Order, SendEnded, Pace>;
+using SendKey = std::pair<Id, int>;
+using ServerNote = std::variant<Tick, ListEntry, Order, SendEnded, Pace>;
 using PulseNote = std::variant<Tick, Strain, Took, Weighed, Fleet>;
 using FollowerNote = std::variant<Tick, ListNews>;
 using DeskNote =
