Give a server that is aside one part at a time, where no other replica is left

Symptom: shards whose replicas were all in trouble drew 5 to 30 parts in 5 s into a hung server. Told apart by one server's answers missing while its neighbours took 0.2 s. Also covers: failing fast and lost connections on all holders of a shard. May harm: a shard whose only replica is wrongly aside is served slowly.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -259,7 +259,10 @@
         card.room = kAmple;
         card.credit = s_.credit;
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
-        if (s_.standing == Standing::kTrial) card.room = std::min(card.room, s_.trial_used ? 0 : 1);
+        // On trial it gets one part. While aside it gets one only where no other replica is left, which tells
+        // early that a stall of many is over, and keeps all but that one part out of a hole.
+        const bool tested = s_.standing == Standing::kTrial ? s_.trial_used : !s_.out.empty();
+        if (s_.standing != Standing::kGood) card.room = std::min(card.room, tested ? 0 : 1);
         card.wait = expected_wait();
         if (card == s_.shown) return;
         s_.shown = card;
