Leave hopeless parts out of answers in part, once the guarded share is covered

Symptom: a few replicas at 1 to 4 s while the rest took 0.2 s, though service was lost everywhere. Cause: the last sound holder of a hot shard got that shard's parts of every multiget; those that must be whole waited behind parts that an answer can spare. Told from overload by the unequal waits. Change: a part whose replicas are all too slow for the time left is left out like a light one, where the hopeful parts cover the floor guard. May harm: a wrong wait estimate costs an answer its wholeness.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -14,6 +14,7 @@
 #include <limits>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "notes.hpp"
@@ -518,24 +519,27 @@
     // cover the least share and a quarter of the rest, for where many parts weigh the same or nearly nothing.
     void select(MultigetState& mg, const OpType& type) {
         const double guard = type.least_share + (type.whole_share - type.least_share) / 4;
-        std::vector<std::pair<double, std::size_t>> order;
-        for (std::size_t i = 0; i < mg.parts.size(); ++i) order.emplace_back(-mg.parts[i].told.weight, i);
-        std::sort(order.begin(), order.end());
+        std::vector<std::tuple<bool, double, std::size_t>> order;  // hopeless last, then by weight
         double covered = 0;
         double hopeful = 0;
         // A late answer that still earns something lengthens the time by that share.
         const Time late = mg.answer_by - mg.budget_ends;
         const double left = static_cast<double>(mg.budget_ends - post_.now) +
                             type.late_importance * static_cast<double>(late);
-        for (const auto& part : mg.parts) {
-            if (static_cast<double>(shortest_wait(part)) <= kHopeful * left) hopeful += part.told.weight;
+        for (std::size_t i = 0; i < mg.parts.size(); ++i) {
+            const double weight = mg.parts[i].told.weight;
+            const bool hopeless = static_cast<double>(shortest_wait(mg.parts[i])) > kHopeful * left;
+            if (!hopeless) hopeful += weight;
+            order.emplace_back(hopeless, -weight, i);
         }
+        std::sort(order.begin(), order.end());
         // What cannot be answered in time is pushed back before any part is sent: parts that end too late to
         // serve an answer still take their servers' time, and under load that makes the next ones late too.
         if (hopeful + kRounding < type.least_share) return give_up(mg);
-        for (const auto& [minus, i] : order) {
+        for (const auto& [hopeless, minus, i] : order) {
             auto& part = mg.parts[i];
-            if (type.least_share < type.whole_share && part.told.weight <= s_.alpha && covered >= guard) {
+            const bool cut = hopeless || part.told.weight <= s_.alpha;
+            if (type.least_share < type.whole_share && cut && covered >= guard) {
                 part.stage = Stage::kLeftOut;
                 continue;
             }
