--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -78,7 +78,7 @@
         : post_(post), id_(id), cold_(cold), front_nodes_(front_nodes), parts_per_call_(parts_per_call),
           silence_(shortest_budget / 3), aside_for_(shortest_budget) {
         s_.slow = silence_;
-        s_.usual_cost = static_cast<double>(shortest_budget) / 8;
+        s_.pace.quick = static_cast<double>(shortest_budget) / 8;
         s_.credit = 2;
     }
 
@@ -91,33 +91,21 @@
         fill_cold_room();
         look_for_silence();
         for (auto& [key, out] : s_.out) {
-            if (post_.now < out.overdue_at) continue;
-            if (!std::exchange(out.strained, true) && s_.standing == Standing::kGood) {
-                post_.pulse.push_back(Strain{id_, true});
-            }
+            if (post_.now < out.overdue_at || std::exchange(out.strained, true)) continue;
+            if (s_.standing == Standing::kGood) post_.pulse.push_back(Strain{id_, true});
         }
         publish();
     }
 
     void take(const ListEntry& entry) {
-        if (entry.state == ServerState::kReady && entry.started > s_.started) {
-            s_.cold_room = 0;
-            s_.room_filled = post_.now;
-        }
         s_.entry = entry;
-        s_.started = std::max(s_.started, entry.started);
+        if (entry.started > s_.started) s_.restarted(entry.started, post_.now);
         publish();
     }
 
     void take(const Order& order) {
-        if (s_.call_turn != post_.now || s_.call_parts >= parts_per_call_) {
-            s_.call_turn = post_.now;
-            s_.call_parts = 0;
-            ++s_.call;
-        }
-        ++s_.call_parts;
-        ++s_.calls_out[s_.call];
-        s_.out[{order.part, order.send}] = {post_.now, post_.now + order.patience, s_.call, false};
+        const int call = s_.join_call(post_.now, parts_per_call_);
+        s_.out[{order.part, order.send}] = {post_.now, post_.now + order.patience, call, false};
         if (is_cold()) s_.cold_room -= 1;
         if (order.further) s_.credit -= 1;
         if (s_.standing == Standing::kTrial) s_.trial_used = true;
@@ -129,8 +117,7 @@
         // A wait is suspicious only when it is long beside what the others show: under load all are slow, and
         // copies would make that worse.
         constexpr double kFarBehind = 2.5;
-        s_.usual_cost = pace.quick;
-        s_.borne = pace.borne;
+        s_.pace = pace;
         s_.slow = std::max(silence_, static_cast<Time>(kFarBehind * pace.mean));
     }
 
@@ -138,8 +125,7 @@
         const auto it = s_.out.find({ended.part, ended.send});
         if (it != s_.out.end()) {
             judge(ended, it->second);
-            if (--s_.calls_out[it->second.call] == 0) s_.calls_out.erase(it->second.call);
-            s_.out.erase(it);
+            s_.end_send(it);
         }
         post_.desk.push_back(SendOver{ended.part, ended.send, ended.outcome});
         publish();
@@ -176,9 +162,7 @@
             case Outcome::kReset:
                 // A process that was down comes back cold, whether or not the list says so in time.
                 s_.credit = 0;
-                s_.started = post_.now;
-                s_.cold_room = 0;
-                s_.room_filled = post_.now;
+                s_.restarted(post_.now, post_.now);
                 set_aside(false, "no connection");
                 break;
             case Outcome::kTimedOut:
@@ -199,8 +183,7 @@
     Time expected_wait() const {
         Time wait = std::max<Time>(0, s_.wait - (post_.now - s_.wait_seen));
         if (s_.standing == Standing::kAside) return wait;
-        for (const auto& [key, out] : s_.out) wait = std::max(wait, post_.now - out.sent);
-        return wait;
+        return std::max(wait, post_.now - s_.oldest_sent(post_.now));
     }
 
     void see_wait(Time took, bool at_least) {
@@ -214,9 +197,7 @@
     // zone gone without word, a process that stands still. A live one with work in hand is heard from often.
     void look_for_silence() {
         if (s_.out.empty() || s_.standing == Standing::kAside) return;
-        Time oldest = post_.now;
-        for (const auto& [key, out] : s_.out) oldest = std::min(oldest, out.sent);
-        if (post_.now - std::max(s_.heard, oldest) < s_.slow * 3 / 2) return;
+        if (post_.now - std::max(s_.heard, s_.oldest_sent(post_.now)) < s_.slow * 3 / 2) return;
         set_aside(true, "silence");
         for (const auto& [key, out] : s_.out) post_.desk.push_back(Overdue{key.first, key.second});
     }
@@ -244,7 +225,7 @@
         const double age =
             static_cast<double>(post_.now - s_.started) / static_cast<double>(cold_.warm_after);
         const double warmth = cold_.from + (1 - cold_.from) * std::clamp(age, 0.0, 1.0);
-        const double bears = std::max(s_.borne, 1 / s_.usual_cost / front_nodes_);
+        const double bears = std::max(s_.pace.borne, 1 / s_.pace.quick / front_nodes_);
         const double rate = kSafety * cold_.fall_multiple * warmth * bears;
         const double most = std::max(1.0, rate * static_cast<double>(cold_.tip_after) / 2);
         s_.cold_room = std::min(most, s_.cold_room + rate * static_cast<double>(post_.now - s_.room_filled));
@@ -374,14 +355,9 @@
     }
 
 private:
-    struct Entry {
-        Time at;
-        int taken;
-        int sent;
-    };
     const FurtherSendTerms terms_;
     const Time slack_;
-    std::deque<Entry> log_;
+    std::deque<Counted> log_;
 };
 
 class Desk {
@@ -442,8 +418,7 @@
         if (part == nullptr || static_cast<std::size_t>(over.send) >= part->sends.size()) return;
         auto& sent = part->sends[static_cast<std::size_t>(over.send)];
         sent.over = true;
-        sent.may_have_run = over.outcome != Outcome::kFull && over.outcome != Outcome::kNoConnection &&
-                            over.outcome != Outcome::kNeverSent;
+        sent.may_have_run = !proven_not_run(over.outcome);
         if (!part->open()) return;
         if (over.outcome == Outcome::kReturned) {
             part->stage = Stage::kIn;
@@ -549,11 +524,6 @@
         if (mg.parts.empty()) review(mg);
     }
 
-    bool holds(const Card& card, int shard) const {
-        const int distance = ((card.place - shard) % ring_.places + ring_.places) % ring_.places;
-        return distance < ring_.width && card.listed_ready;
-    }
-
     Time shortest_wait(const PartState& part) const {
         // Where every replica is aside they count after all: what made so many silent may be over by now, and
         // pushing back everything until the first returns would make a short stall a long one.
@@ -561,7 +531,7 @@
         Time shortest = kNone;
         Time aside = kNone;
         for (const auto& [id, card] : s_.cards) {
-            if (!holds(card, part.told.shard) || card.room < 1) continue;
+            if (!card.listed_ready || !ring_.holds(card.place, part.told.shard) || card.room < 1) continue;
             auto& which = (card.standing == Standing::kAside) ? aside : shortest;
             which = std::min(which, card.wait);
         }
@@ -589,8 +559,8 @@
         std::vector<const Card*> best;
         std::array<int, 3> lowest{};
         for (const auto& [id, card] : s_.cards) {
-            if (!holds(card, part.told.shard) || card.room < 1) continue;
-            if (is_further && (card.credit < 1 || (card.standing == Standing::kAside) || was_at(part, id)))
+            if (!card.listed_ready || !ring_.holds(card.place, part.told.shard) || card.room < 1) continue;
+            if (is_further && (card.credit < 1 || (card.standing == Standing::kAside) || part.was_at(id)))
                 continue;
             const bool testing = (card.standing == Standing::kTrial) && type.repeat == Repeat::kRetriable;
             const bool too_slow = card.wait > static_cast<Time>(kHopeful * static_cast<double>(left));
@@ -608,11 +578,6 @@
         return best[post_.chance() % best.size()];
     }
 
-    static bool was_at(const PartState& part, ServerId id) {
-        return std::any_of(part.sends.begin(), part.sends.end(),
-                           [&](const auto& s) { return s.server == id; });
-    }
-
     void send(MultigetState& mg, PartState& part, const OpType& type, const Card& card) {
         const bool is_further = !part.sends.empty();
         const Time useful = type.late_importance > 0 ? mg.answer_by : mg.budget_ends;
@@ -640,16 +605,7 @@
         }
 
         const auto& type = type_of(mg.told);
-        double in = 0;
-        double pending = 0;
-        bool all_in = true;
-        bool any_open = false;
-        for (const auto& part : mg.parts) {
-            if (part.stage == Stage::kIn) in += part.told.weight;
-            if (part.open()) pending += part.told.weight;
-            all_in = all_in && part.stage == Stage::kIn;
-            any_open = any_open || part.open();
-        }
+        const auto [in, pending, all_in, any_open] = mg.tally();
         const double need = mg.step == 1 ? type.whole_share : 1;
         const bool whole = (all_in || (need < 1 && in + kRounding >= need)) && mg.step_one_whole;
         const bool floor_in = all_in || in + kRounding >= type.least_share;
@@ -677,12 +633,10 @@
     // A pushback says that asking again is harmless: only where that is so. Else the multiget has failed.
     void give_up(MultigetState& mg) {
         const auto& type = type_of(mg.told);
-        const bool harmless = type.repeat == Repeat::kRetriable ||
-                              std::all_of(mg.parts.begin(), mg.parts.end(),
-                                          [](const auto& part) { return part.all_proven_not_run(); });
+        const bool harmless = type.repeat == Repeat::kRetriable || mg.all_proven_not_run();
         if (harmless && mg.step == 1) {
-            const Time wait = clients_.retry_after ? clients_.longest_retry_after : 0;
-            post_.actions.emplace_back(PushBack{mg.told.id, wait});
+            post_.actions.emplace_back(
+                PushBack{mg.told.id, clients_.retry_after ? clients_.longest_retry_after : 0});
         } else {
             post_.actions.emplace_back(Fail{mg.told.id});
         }
@@ -719,14 +673,6 @@
     InstanceState s_;
 };
 
-Time shortest_budget(const std::vector<OpType>& op_types) {
-    Time shortest = 0;
-    for (const auto& type : op_types) {
-        if (shortest == 0 || type.latency_budget < shortest) shortest = type.latency_budget;
-    }
-    return std::max<Time>(shortest, 1);
-}
-
 }  // namespace
 
 // ---- FrontNode: the one loop
@@ -745,15 +691,6 @@
             .first->second;
     }
 
-    template <class Actor, class Inbox>
-    static bool empty_one(Actor& actor, Inbox& inbox) {
-        if (inbox.empty()) return false;
-        const auto note = std::move(inbox.front());
-        inbox.pop_front();
-        std::visit([&](const auto& what) { actor.take(what); }, note);
-        return true;
-    }
-
     // Index servers and their cards go before each of the desk's notes: it must not decide by a card that an
     // order of the same turn has made untrue, or a whole multiget goes to one cold server's last free place.
     void empty_inboxes() {
@@ -811,10 +748,7 @@
         std::visit([&](const auto& what) { parts_->deliver(what); }, event);
         parts_->empty_inboxes();
     }
-    post.follower.push_back(Tick{});
-    for (auto& [id, inbox] : post.servers) inbox.push_back(Tick{});
-    post.pulse.push_back(Tick{});
-    post.desk.push_back(Tick{});
+    post.tick_all();
     parts_->empty_inboxes();
     parts_->ring_again();
     return std::exchange(post.actions, {});
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -41,6 +41,8 @@
     int width = 1;
     int parts_per_call = 1;
     Time call_cost = 0;
+
+    bool holds(int place, int shard) const { return ((place - shard) % places + places) % places < width; }
 };
 
 struct NodePlace {
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -86,7 +86,23 @@
     std::mt19937 chance;
     Time now = 0;
 
+    void tick_all() {
+        follower.push_back(Tick{});
+        for (auto& [id, inbox] : servers) inbox.push_back(Tick{});
+        pulse.push_back(Tick{});
+        desk.push_back(Tick{});
+    }
     Time random_part(Time most) { return static_cast<Time>(chance() % static_cast<std::uint32_t>(most + 1)); }
 };
 
+// Hands the oldest note of an inbox to its actor; false if there is none.
+template <class Actor, class Inbox>
+bool empty_one(Actor& actor, Inbox& inbox) {
+    if (inbox.empty()) return false;
+    const auto note = std::move(inbox.front());
+    inbox.pop_front();
+    std::visit([&](const auto& what) { actor.take(what); }, note);
+    return true;
+}
+
 }  // namespace pinedoor
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -20,6 +20,10 @@
     bool may_have_run = true;
 };
 
+inline bool proven_not_run(Outcome outcome) {
+    return outcome == Outcome::kFull || outcome == Outcome::kNoConnection || outcome == Outcome::kNeverSent;
+}
+
 struct PartState {
     enum class Stage { kWaiting, kOut, kIn, kLost, kLeftOut };
     PartArrival told;
@@ -33,9 +37,19 @@
     bool any_out() const {
         return std::any_of(sends.begin(), sends.end(), [](const auto& s) { return !s.over; });
     }
+    bool was_at(ServerId id) const {
+        return std::any_of(sends.begin(), sends.end(), [&](const auto& s) { return s.server == id; });
+    }
     bool open() const { return stage == Stage::kWaiting || stage == Stage::kOut; }
 };
 
+struct Tally {      // of a multiget's parts
+    double in = 0;  // weight
+    double pending = 0;
+    bool all_in = true;
+    bool any_open = false;
+};
+
 struct MultigetState {
     MultigetArrival told;
     std::vector<PartState> parts;
@@ -44,6 +58,34 @@
     int step = 1;
     bool step_one_whole = true;
     bool awaiting_step = false;
+
+    Tally tally() const {
+        Tally sum;
+        for (const auto& part : parts) {
+            if (part.stage == PartState::Stage::kIn) sum.in += part.told.weight;
+            if (part.open()) sum.pending += part.told.weight;
+            sum.all_in = sum.all_in && part.stage == PartState::Stage::kIn;
+            sum.any_open = sum.any_open || part.open();
+        }
+        return sum;
+    }
+    bool all_proven_not_run() const {
+        return std::all_of(parts.begin(), parts.end(), [](const auto& p) { return p.all_proven_not_run(); });
+    }
+};
+
+inline Time shortest_budget(const std::vector<OpType>& op_types) {
+    Time shortest = 0;
+    for (const auto& type : op_types) {
+        if (shortest == 0 || type.latency_budget < shortest) shortest = type.latency_budget;
+    }
+    return std::max<Time>(shortest, 1);
+}
+
+struct Counted {  // by the budget for further sends
+    Time at = 0;
+    int taken = 0;
+    int sent = 0;
 };
 
 struct OutSend {  // one send, as its index server sees it
@@ -72,10 +114,34 @@
     double errors = 0;
     double credit = 0;
     Time started = 0;  // as told or as guessed from lost connections
-    double usual_cost = 0;
-    double borne = 0;
+    Pace pace;
     double cold_room = 0;  // parts that it may be sent now
     Time room_filled = 0;
+
+    int join_call(Time now, int parts_per_call) {  // sends of one turn share a call while it has room
+        if (call_turn != now || call_parts >= parts_per_call) {
+            call_turn = now;
+            call_parts = 0;
+            ++call;
+        }
+        ++call_parts;
+        ++calls_out[call];
+        return call;
+    }
+    void end_send(std::map<SendKey, OutSend>::iterator it) {
+        if (--calls_out[it->second.call] == 0) calls_out.erase(it->second.call);
+        out.erase(it);
+    }
+    void restarted(Time at, Time seen) {
+        started = at;
+        cold_room = 0;
+        room_filled = seen;
+    }
+    Time oldest_sent(Time now) const {
+        Time oldest = now;
+        for (const auto& [key, send] : out) oldest = std::min(oldest, send.sent);
+        return oldest;
+    }
 };
 
 struct PulseState {  // of the instance; the counts are of the present window
