Know a repeat by an unusual time left, and guess no more than were given up

Symptom: no bad attempts at all, servers under 20% busy, the list unchanged. Cause, read from the traffic: some clients grew impatient; their short tries were taken for repeats at the end of their client's time, past their budget, and pushed back, which could feed itself. Change: where repeats are marked the mark decides; elsewhere at most two guesses for each multiget given up lately; the usual time is the majority's, and a repeat may also be longer (seen: a last try gets all that is left). May harm: a genuine repeat beyond the count is served as new.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <deque>
 #include <limits>
 #include <map>
@@ -55,10 +56,9 @@
             listed_[entry.server] = entry;
             post_.servers[entry.server].push_back(entry);
         }
-        const auto ready = std::count_if(listed_.begin(), listed_.end(), [](const auto& it) {
-            return it.second.state == ServerState::kReady;
-        });
-        post_.pulse.push_back(Fleet{static_cast<int>(ready)});
+        Fleet fleet;
+        for (const auto& [id, entry] : listed_) fleet.ready += entry.state == ServerState::kReady ? 1 : 0;
+        post_.pulse.push_back(fleet);
     }
 
 private:
@@ -286,8 +286,8 @@
         s_.bearing.insert(took.server);
     }
 
-    void take(const Weighed& weighed) {
-        s_.mean_weight += (weighed.mean - s_.mean_weight) / (s_.mean_weight > 0 ? 8 : 1);
+    void take(const Weighed& w) {
+        s_.mean_weight += (w.mean - s_.mean_weight) / (s_.mean_weight > 0 ? 8 : 1);
     }
     void take(const Fleet& fleet) { s_.ready = fleet.ready; }
 
@@ -366,7 +366,7 @@
          ClientTerms clients, Time turn)
         : post_(post), op_types_(std::move(op_types)), ring_(ring), sends_(sends), clients_(clients),
           turn_(turn), budget_(further, turn) {
-        s_.longest_try.resize(op_types_.size());
+        s_.tries.resize(op_types_.size());
     }
 
     using Stage = PartState::Stage;
@@ -382,9 +382,9 @@
         mg.told.parts.clear();
         const auto& type = type_of(told);
         mg.answer_by = told.not_after - 2 * turn_;
-        mg.budget_ends = std::min(mg.answer_by, client_start(told, type) + type.latency_budget - 4 * turn_);
+        mg.budget_ends = std::min(mg.answer_by, client_start(mg, type) + type.latency_budget - 4 * turn_);
         add_parts(mg, told.parts);
-        
+
         if (type.least_share < type.whole_share && !mg.parts.empty()) {
             post_.pulse.push_back(Weighed{1.0 / static_cast<double>(mg.parts.size())});
         }
@@ -403,7 +403,7 @@
     }
 
     void take(const PlacePart& note) {
-        auto [mg, part] = find(note.part);
+        auto [mg, part] = s_.find(note.part);
         if (part == nullptr || part->stage != Stage::kWaiting) return;
         const auto& type = type_of(mg->told);
         if (!may_send(*part, type)) {
@@ -414,7 +414,7 @@
     }
 
     void take(const SendOver& over) {
-        auto [mg, part] = find(over.part);
+        auto [mg, part] = s_.find(over.part);
         if (part == nullptr || static_cast<std::size_t>(over.send) >= part->sends.size()) return;
         auto& sent = part->sends[static_cast<std::size_t>(over.send)];
         sent.over = true;
@@ -435,7 +435,7 @@
     // follows once that is confirmed. Without a replica that has credit it is left to run, and asked about
     // again.
     void take(const Overdue& note) {
-        auto [mg, part] = find(note.part);
+        auto [mg, part] = s_.find(note.part);
         if (part == nullptr || part->stage != Stage::kOut) return;
         const auto& type = type_of(mg->told);
         part->further_wanted = type.repeat != Repeat::kNonRetriable && may_send(*part, type);
@@ -469,13 +469,21 @@
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
     static constexpr double kHopeful = 0.5;       // of the time left that an expected wait may take
 
-    // A try that ends sooner than tries of its op type usually do ends with its client's whole time, which
-    // tells when that client began: repeats are not taken for new work that still has all its budget.
-    Time client_start(const MultigetArrival& told, const OpType& type) {
-        auto& longest = s_.longest_try.at(static_cast<std::size_t>(told.op_type));
-        longest = std::max(longest, told.not_after - post_.now);
-        const bool cut_short = told.not_after - post_.now < longest - type.latency_budget / 20;
-        return cut_short ? std::min(post_.now, told.not_after - type.route_timeout) : post_.now;
+    // // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when
+    // that client began. Where repeats are not marked, no more are guessed than follow from what was given up
+    // lately: else clients that grow impatient by themselves would be taken for repeats and pushed back, for
+    // ever.
+    Time client_start(MultigetState& mg, const OpType& type) {
+        auto& tries = s_.tries.at(static_cast<std::size_t>(mg.told.op_type));
+        const Time span = mg.told.not_after - post_.now;
+        const bool usual = std::abs(span - tries.usual) <= type.latency_budget / 20;
+        tries.trust += usual ? 1 : -1;
+        if (tries.trust < 0) tries = {span, 1, tries.seen, tries.repeats_due};  // the majority's
+        const auto since = static_cast<double>(post_.now - std::exchange(tries.seen, post_.now));
+        tries.repeats_due *= 1 - std::min(1.0, since / static_cast<double>(type.route_timeout));
+        mg.repeat = !usual && (clients_.marks_repeats ? mg.told.repeat : tries.repeats_due >= 1);
+        if (mg.repeat) tries.repeats_due -= 1;
+        return mg.repeat ? std::min(post_.now, mg.told.not_after - type.route_timeout) : post_.now;
     }
 
     const OpType& type_of(const MultigetArrival& told) const {
@@ -634,6 +642,7 @@
     void give_up(MultigetState& mg) {
         const auto& type = type_of(mg.told);
         const bool harmless = type.repeat == Repeat::kRetriable || mg.all_proven_not_run();
+        if (!mg.repeat) s_.tries.at(static_cast<std::size_t>(mg.told.op_type)).repeats_due += 2;
         if (harmless && mg.step == 1) {
             post_.actions.emplace_back(
                 PushBack{mg.told.id, clients_.retry_after ? clients_.longest_retry_after : 0});
@@ -656,13 +665,6 @@
         s_.multigets.erase(mg.told.id);
     }
 
-    std::pair<MultigetState*, PartState*> find(Id id) {
-        const auto it = s_.part_of.find(id);
-        if (it == s_.part_of.end()) return {nullptr, nullptr};
-        auto& mg = s_.multigets.at(it->second.first);
-        return {&mg, &mg.parts[it->second.second]};
-    }
-
     Post& post_;
     const std::vector<OpType> op_types_;
     const ShardRing ring_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -55,6 +55,7 @@
     std::vector<PartState> parts;
     Time budget_ends = 0;  // an answer sent by then is in time
     Time answer_by = 0;    // the last moment for any final answer
+    bool repeat = false;   // known or guessed
     int step = 1;
     bool step_one_whole = true;
     bool awaiting_step = false;
@@ -157,12 +158,26 @@
     Pace pace;
 };
 
+struct TriesSeen {
+    Time usual = 0;  // what clients mostly give one
+    int trust = 0;   // that it is still usual
+    Time seen = 0;
+    double repeats_due = 0;
+};
+
 struct InstanceState {
     std::map<Id, MultigetState> multigets;
     std::map<Id, std::pair<Id, std::size_t>> part_of;  // its multiget, and which of its parts
     std::map<ServerId, Card> cards;
-    std::vector<Time> longest_try;  // seen, by op type
+    std::vector<TriesSeen> tries;  // by op type
     double alpha = 0;
+
+    std::pair<MultigetState*, PartState*> find(Id part) {
+        const auto it = part_of.find(part);
+        if (it == part_of.end()) return {nullptr, nullptr};
+        auto& mg = multigets.at(it->second.first);
+        return {&mg, &mg.parts[it->second.second]};
+    }
 };
 
 }  // namespace pinedoor
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -322,12 +322,21 @@
 )");
 }
 
-TEST_CASE("a repeat that ends with its client's whole time is known to be past its budget") {
-    Script s;
-    s.list("A0 B1 C2 D3").arrive(1, kWholly, {1}, 0, 1'600).arrive(2, kWholly, {1}, 0, 900);
+TEST_CASE(
+    "tries of unusual length count as repeats after a push back only, and no more than follow from it") {
+    Script s;  // nobody holds shard 2
+    s.list("A0 B1").arrive(1, kWholly, {1}, 0, 1'600).arrive(2, kWholly, {1}, 0, 900).end({100, 200});
+    s.arrive(3, kWholly, {1}, 2, 1'600).arrive(4, kWholly, {1}, 0, 900).arrive(5, kWholly, {1}, 0, 900);
+    s.arrive(6, kWholly, {1}, 0, 900);
     CHECK(s.trace() == R"(
 0 send 100 to B
-0 push back 2 for 500
+0 send 200 to A
+0 answer 1 whole
+0 answer 2 whole
+0 push back 3 for 500
+0 push back 4 for 500
+0 push back 5 for 500
+0 send 600 to B
 )");
 }
 
