--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -215,7 +215,7 @@
 
     bool is_cold() const { return s_.started > 0 && post_.now < s_.started + cold_.warm_after; }
 
-    // Guards a cold server: it may be sent, in parts, six tenths of the stated multiple, at its least
+    // Guards a cold server: it may be sent, in parts, nine tenths of the stated multiple, at its least
     // warmth by now, of what warm servers are seen to bear of this node's parts, or of this node's even share
     // of what one core bears. Room gathers with time, up to half a span's, so no burst spends the allowance
     // at once.
@@ -233,7 +233,6 @@
     }
 
     void publish() {
-
         Card card{id_, s_.entry.place, s_.entry.state == ServerState::kReady, s_.standing};
         card.calls_out = static_cast<int>(s_.calls_out.size());
         card.parts_out = static_cast<int>(s_.out.size());
