Use failing servers while over a quarter fail, for what may run again

Also covers a bad release that errs a little everywhere. May harm: parts fail on servers that fail nearly all, while many do. Open: the share hovers about the quarter.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -83,7 +83,7 @@
     }
 
     void take(const Tick&) {
-        if (s_.standing == Standing::kAside && post_.now >= s_.aside_until) {
+        if (s_.is_away() && post_.now >= s_.aside_until) {
             s_.standing = Standing::kTrial;
             s_.trial_used = false;
             s_.heard = post_.now;
@@ -137,43 +137,40 @@
         constexpr double kErrorMark = 1.0 / 5;  // two errors on end: sound servers hardly ever show that
         constexpr double kEarned = 1.0 / 4;     // credit for an answer
         constexpr double kMostCredit = 8;
-        const bool aside = s_.standing == Standing::kAside;
+        const bool away = s_.is_away();
+        if (ended.outcome <= Outcome::kFull) s_.heard = post_.now;  // an answer of any sort
         switch (ended.outcome) {
             case Outcome::kReturned:
-                s_.heard = post_.now;
                 s_.errors -= s_.errors * kErrorStep;
                 s_.credit = std::min(kMostCredit, s_.credit + kEarned);
                 post_.pulse.push_back(Took{id_, ended.took, !is_cold()});
                 see_wait(ended.took, false);
                 // An answer ends the doubt that silence raised; only time ends the one that errors raised.
-                if (s_.standing == Standing::kTrial || (aside && s_.silent)) s_.standing = Standing::kGood;
+                if (s_.standing != Standing::kFailing) s_.standing = Standing::kGood;
                 break;
             case Outcome::kError:
-                s_.heard = post_.now;
                 s_.errors += (1 - s_.errors) * kErrorStep;
                 s_.credit = std::max(0.0, s_.credit - 1);
-                if (s_.errors > kErrorMark || s_.standing == Standing::kTrial) set_aside(false, "errors");
-                break;
-            case Outcome::kFull:
-                s_.heard = post_.now;
-                s_.credit = 0;
+                if (s_.errors > kErrorMark || s_.standing == Standing::kTrial)
+                    set_aside(Standing::kFailing, "errors");
                 break;
+            case Outcome::kFull: s_.credit = 0; break;
             case Outcome::kNoConnection:
             case Outcome::kReset:
                 // A process that was down comes back cold, whether or not the list says so in time.
                 s_.credit = 0;
                 s_.restarted(post_.now, post_.now);
-                set_aside(false, "no connection");
+                set_aside(Standing::kAside, "no connection");
                 break;
             case Outcome::kTimedOut:
                 s_.credit = std::max(0.0, s_.credit - 1);
                 see_wait(ended.took, true);
-                if (s_.standing == Standing::kTrial) set_aside(true, "trial timed out");
+                if (s_.standing == Standing::kTrial) set_aside(Standing::kAside, "trial timed out");
                 break;
             case Outcome::kCancelled: see_wait(ended.took, true); return;
             case Outcome::kNeverSent: return;
         }
-        if (out.strained || aside) return;
+        if (out.strained || away) return;
         post_.pulse.push_back(
             Strain{id_, ended.outcome == Outcome::kFull || ended.outcome == Outcome::kTimedOut});
     }
@@ -182,7 +179,7 @@
     // to would have shrunk; at least the age of the oldest send that is still out.
     Time expected_wait() const {
         Time wait = std::max<Time>(0, s_.wait - (post_.now - s_.wait_seen));
-        if (s_.standing == Standing::kAside) return wait;
+        if (s_.is_away()) return wait;
         return std::max(wait, post_.now - s_.oldest_sent(post_.now));
     }
 
@@ -196,19 +193,18 @@
     // Guards against a server that takes work and answers nothing, whatever ails it: a hang, a cut link, a
     // zone gone without word, a process that stands still. A live one with work in hand is heard from often.
     void look_for_silence() {
-        if (s_.out.empty() || s_.standing == Standing::kAside) return;
+        if (s_.out.empty() || s_.is_away()) return;
         if (post_.now - std::max(s_.heard, s_.oldest_sent(post_.now)) < s_.slow) return;
-        set_aside(true, "silence");
+        set_aside(Standing::kAside, "silence");
         for (const auto& [key, out] : s_.out) post_.desk.push_back(Overdue{key.first, key.second});
     }
 
-    void set_aside(bool silent, const char* why) {
+    void set_aside(Standing how, const char* why) {
         if (s_.standing == Standing::kGood) {
             post_.actions.emplace_back(
                 LogLine{"aside " + std::to_string(id_.address & 0xffffU) + ": " + why});
         }
-        s_.standing = Standing::kAside;
-        s_.silent = silent;
+        s_.standing = how;
         s_.errors = 0;
         s_.aside_until = post_.now + aside_for_ + post_.random_part(aside_for_ / 2);
     }
@@ -233,17 +229,14 @@
     }
 
     void publish() {
-        Card card{id_, s_.entry.place, s_.entry.state == ServerState::kReady, s_.standing};
-        card.calls_out = static_cast<int>(s_.calls_out.size());
-        card.parts_out = static_cast<int>(s_.out.size());
-        card.room = 1 << 20;  // as many as may come
-        card.credit = s_.credit;
+        Card card = s_.card(id_, expected_wait());
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
         // On trial it gets one part. While aside it gets one only where no other replica is left, which tells
         // early that a stall of many is over, and keeps all but that one part out of a hole.
         const bool tested = s_.standing == Standing::kTrial ? s_.trial_used : !s_.out.empty();
-        if (s_.standing != Standing::kGood) card.room = std::min(card.room, tested ? 0 : 1);
-        card.wait = expected_wait();
+        if (s_.standing == Standing::kTrial || s_.standing == Standing::kAside) {
+            card.room = std::min(card.room, tested ? 0 : 1);
+        }
         if (card == s_.shown) return;
         s_.shown = card;
         post_.cards.push_back(card);
@@ -261,6 +254,8 @@
 
 // ---- Pulse
 
+constexpr int kFewServers = 4;  // up to a quarter of them is a few
+
 class Pulse {
 public:
     Pulse(Post& post, Time shortest_budget) : post_(post) {
@@ -324,7 +319,6 @@
     // Steps go by the mean weight of a part, so that they bite alike on a dozen shards and on many dozens.
     static constexpr double kStep = 0.5;
     static constexpr double kCap = 2;
-    static constexpr int kFewServers = 4;  // a quarter of the ready ones
 
     Post& post_;
     PulseState s_;
@@ -370,7 +364,11 @@
     using Stage = PartState::Stage;
 
     bool idle() const { return s_.multigets.empty(); }
-    void take(const Card& card) { s_.cards[card.server] = card; }
+    void take(const Card& card) {
+        s_.failing +=
+            (card.standing == Standing::kFailing) - (s_.cards[card.server].standing == Standing::kFailing);
+        s_.cards[card.server] = card;
+    }
     void take(const Alpha& alpha) { s_.alpha = alpha.value; }
 
     void take(const MultigetArrival& told) {
@@ -530,6 +528,12 @@
         if (mg.parts.empty()) review(mg);
     }
 
+    // Servers that fail some of their parts are worth their errors while too many fail to do without them.
+    bool is_away(const Card& card) const {
+        const bool many = s_.failing * kFewServers > static_cast<int>(s_.cards.size());
+        return card.standing == Standing::kAside || (card.standing == Standing::kFailing && !many);
+    }
+
     Time shortest_wait(const PartState& part) const {
         // Where every replica is aside they count after all: what made so many silent may be over by now, and
         // pushing back everything until the first returns would make a short stall a long one.
@@ -538,7 +542,7 @@
         Time aside = kNone;
         for (const auto& [id, card] : s_.cards) {
             if (!card.listed_ready || !ring_.holds(card.place, part.told.shard) || card.room < 1) continue;
-            auto& which = (card.standing == Standing::kAside) ? aside : shortest;
+            auto& which = is_away(card) ? aside : shortest;
             which = std::min(which, card.wait);
         }
         return shortest == kNone ? aside : shortest;
@@ -566,13 +570,11 @@
         std::array<int, 3> lowest{};
         for (const auto& [id, card] : s_.cards) {
             if (!card.listed_ready || !ring_.holds(card.place, part.told.shard) || card.room < 1) continue;
-            if (is_further && (card.credit < 1 || (card.standing == Standing::kAside) || part.was_at(id)))
-                continue;
-            const bool testing = (card.standing == Standing::kTrial) && type.repeat == Repeat::kRetriable;
+            if (is_further && (card.credit < 1 || is_away(card) || part.was_at(id))) continue;
+            const bool may_repeat = type.repeat == Repeat::kRetriable;
             const bool too_slow = card.wait > static_cast<Time>(kHopeful * static_cast<double>(left));
-            const int last = (card.standing == Standing::kAside)
-                                 ? 2
-                                 : (((card.standing == Standing::kTrial) && !testing) || too_slow ? 1 : 0);
+            const bool doubted = card.standing != Standing::kGood && !may_repeat;
+            const int last = is_away(card) ? 2 : (doubted || too_slow ? 1 : 0);
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
             if (best.empty() || rank < lowest) {
                 best.clear();
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <random>
 #include <utility>
@@ -25,15 +26,15 @@
     double mean = 0;
     double borne = 0;  // answers in a tenth of a millisecond that this node has of one warm server
 };
-enum class Standing { kGood, kAside, kTrial };
-struct Card {  // what an index server lets the desk know of itself
+enum class Standing { kGood, kAside, kFailing, kTrial };  // failing: aside for its errors
+struct Card {                                             // what an index server lets the desk know of itself
     ServerId server;
     int place = 0;
     bool listed_ready = false;
     Standing standing = Standing::kGood;
     int calls_out = 0;
     int parts_out = 0;
-    int room = 0;  // parts it may be sent now
+    int room = std::numeric_limits<int>::max();  // parts it may be sent now
     double credit = 0;
     Time wait = 0;  // what a part sent now may have to wait for its answer
     bool operator==(const Card&) const = default;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -105,7 +105,7 @@
     int call_parts = 0;
     Time call_turn = -1;
     Standing standing = Standing::kGood;
-    bool silent = false;  // why it is aside
+
     bool trial_used = false;
     Time aside_until = 0;
     Time heard = 0;
@@ -119,6 +119,15 @@
     double cold_room = 0;  // parts that it may be sent now
     Time room_filled = 0;
 
+    bool is_away() const { return standing == Standing::kAside || standing == Standing::kFailing; }
+    Card card(ServerId id, Time expected_wait) const {
+        Card made{id, entry.place, entry.state == ServerState::kReady, standing};
+        made.calls_out = static_cast<int>(calls_out.size());
+        made.parts_out = static_cast<int>(out.size());
+        made.credit = credit;
+        made.wait = expected_wait;
+        return made;
+    }
     int join_call(Time now, int parts_per_call) {  // sends of one turn share a call while it has room
         if (call_turn != now || call_parts >= parts_per_call) {
             call_turn = now;
@@ -169,6 +178,7 @@
     std::map<Id, MultigetState> multigets;
     std::map<Id, std::pair<Id, std::size_t>> part_of;  // its multiget, and which of its parts
     std::map<ServerId, Card> cards;
+    int failing = 0;               // cards of servers that are
     std::vector<TriesSeen> tries;  // by op type
     double alpha = 0;
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -258,6 +258,18 @@
 )");
 }
 
+TEST_CASE("while many fail they are used after all, but not for what must not run twice") {
+    Script s;  // only A holds shard 3 and only B shard 1 while C and D drain
+    s.list("A0 B1 C2d D3d");
+    for (const Id id : {1U, 2U}) s.arrive(id, kOnce, {1}, 3).end({id * 100}, Outcome::kError);
+    for (const Id id : {3U, 4U}) s.arrive(id, kOnce, {1}, 1).end({id * 100}, Outcome::kError);
+    s.quietly().list("A0 B1 C2 D3").arrive(5, kOnce, {1}, 3).arrive(6, kWholly, {1}, 3);
+    CHECK(s.trace() == R"(
+0 send 500 to D
+0 send 600 to A
+)");
+}
+
 TEST_CASE("at the end of the latency budget: in part if the floor is in, else given up at once") {
     Script s;
     s.list("A0 B1 C2 D3").arrive(1, kPartly, {0.5, 0.2, 0.2, 0.1}).arrive(2, kWholly, {1}, 1);
