Set a server aside after three full refusals on end

Symptom: two hung servers drew 36 to 66 parts in 5 s each and returned none. Cause: their rooms filled up, they then refused at once, which counted as word from them and left little out there, so the picker kept choosing them. Told from overload: no answer at all in between. Also covers jammed servers. May harm: under deep overload refusals by sound servers take them out for one latency budget.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <deque>
 #include <limits>
 #include <map>
@@ -114,8 +113,7 @@
     }
 
     void take(const Pace& pace) {
-        // A wait is suspicious only when it is long beside what the others show: under load all are slow, and
-        // copies would make that worse.
+        // // Long beside what the others show: under load all are slow, and copies would make that worse.
         constexpr double kFarBehind = 3.75;
         s_.pace = pace;
         s_.slow = std::max(silence_, static_cast<Time>(kFarBehind * pace.mean));
@@ -137,11 +135,14 @@
         constexpr double kErrorMark = 1.0 / 5;  // two errors on end: sound servers hardly ever show that
         constexpr double kEarned = 1.0 / 4;     // credit for an answer
         constexpr double kMostCredit = 8;
+        constexpr int kMostFulls = 3;  // on end
         const bool away = s_.is_away();
-        if (ended.outcome <= Outcome::kFull) s_.heard = post_.now;  // an answer of any sort
+        if (ended.outcome <= Outcome::kError)
+            s_.heard = post_.now;  // a full room tells nothing of the server
         switch (ended.outcome) {
             case Outcome::kReturned:
                 s_.errors -= s_.errors * kErrorStep;
+                s_.fulls = 0;
                 s_.credit = std::min(kMostCredit, s_.credit + kEarned);
                 post_.pulse.push_back(Took{id_, ended.took, !is_cold()});
                 see_wait(ended.took, false);
@@ -154,7 +155,13 @@
                 if (s_.errors > kErrorMark || s_.standing == Standing::kTrial)
                     set_aside(Standing::kFailing, "errors");
                 break;
-            case Outcome::kFull: s_.credit = 0; break;
+            case Outcome::kFull:
+                // A hung server's room fills up, and then it refuses quickly, which looks like little out
+                // there.
+                s_.credit = 0;
+                if (++s_.fulls >= kMostFulls || s_.standing == Standing::kTrial)
+                    set_aside(Standing::kAside, "full");
+                break;
             case Outcome::kNoConnection:
             case Outcome::kReset:
                 // A process that was down comes back cold, whether or not the list says so in time.
@@ -290,14 +297,11 @@
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
         const bool widespread = static_cast<int>(s_.pressed_servers.size()) * kFewServers > s_.ready;
-        const bool pressed = s_.ended >= kLeastEnded && s_.pressing > kMark * s_.ended && widespread;
+        const bool over = s_.ended >= kLeastEnded && s_.pressing > kMark * s_.ended;
         const double before = s_.alpha;
         const double step = kStep * s_.mean_weight;
-        if (pressed) {
-            s_.alpha = std::clamp(s_.alpha * 2, step, kCap * s_.mean_weight);
-        } else if (s_.pressing <= kMark * s_.ended || s_.ended < kLeastEnded) {
-            s_.alpha = std::max(0.0, s_.alpha - step);
-        }
+        if (!over) s_.alpha = std::max(0.0, s_.alpha - step);
+        if (over && widespread) s_.alpha = std::clamp(s_.alpha * 2, step, kCap * s_.mean_weight);
         if (before == 0 && s_.alpha > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
         if (s_.alpha != before) post_.desk.push_back(Alpha{s_.alpha});
 
@@ -402,10 +406,8 @@
         auto [mg, part] = s_.find(note.part);
         if (part == nullptr || part->stage != Stage::kWaiting) return;
         const auto& type = type_of(mg->told);
-        if (!may_send(*part, type)) {
-            part->stage = Stage::kLost;
-            return review(*mg);
-        }
+        if (!may_send(*part, type)) part->stage = Stage::kLost;
+        if (part->stage == Stage::kLost) return review(*mg);
         if (const auto* card = pick(*part, type, mg->budget_ends - post_.now)) send(*mg, *part, type, *card);
     }
 
@@ -472,7 +474,7 @@
     Time client_start(MultigetState& mg, const OpType& type) {
         auto& tries = s_.tries.at(static_cast<std::size_t>(mg.told.op_type));
         const Time span = mg.told.not_after - post_.now;
-        const bool usual = std::abs(span - tries.usual) <= type.latency_budget / 20;
+        const bool usual = std::max(span - tries.usual, tries.usual - span) <= type.latency_budget / 20;
         tries.trust += usual ? 1 : -1;
         if (tries.trust < 0) tries = {span, 1, tries.seen, tries.repeats_due};  // the majority's
         const auto since = static_cast<double>(post_.now - std::exchange(tries.seen, post_.now));
@@ -607,10 +609,8 @@
 
     // Decides whether the multiget ends now. Every end passes here but a client's leaving.
     void review(MultigetState& mg) {
-        if (mg.awaiting_step) {
-            if (post_.now >= mg.answer_by) give_up(mg);
-            return;
-        }
+        if (mg.awaiting_step && post_.now < mg.answer_by) return;
+        if (mg.awaiting_step) return give_up(mg);
 
         const auto& type = type_of(mg.told);
         const auto [in, pending, all_in, any_open] = mg.tally();
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -113,6 +113,7 @@
     Time wait = 0;  // what answers lately had to wait, when last seen
     Time wait_seen = 0;
     double errors = 0;
+    int fulls = 0;  // on end
     double credit = 0;
     Time started = 0;  // as told or as guessed from lost connections
     Pace pace;
