--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -607,7 +607,7 @@
         }
     }
 
-    // Decides whether the multiget ends now. Only a push back at arrival and a client's leaving end one elsewhere.
+    // Decides whether the multiget ends now. (Not asked at arrival.)
     void review(MultigetState& mg) {
         if (mg.awaiting_step && post_.now < mg.answer_by) return;
         if (mg.awaiting_step) return give_up(mg);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -41,7 +41,9 @@
     Script s;
     s.list("A0 B1 C2 D3");
     for (Id id = 1; id <= 24; ++id) {
-        s.arrive(id, kOnce, {1}, static_cast<int>(id)).end({id * 100}, Outcome::kTimedOut).play({ClientLeft{id}});
+        s.arrive(id, kOnce, {1}, static_cast<int>(id))
+            .end({id * 100}, Outcome::kTimedOut)
+            .play({ClientLeft{id}});
     }
     s.arrive(30, kPartly, {0.5, 0.3, 0.15, 0.05}).end({3000, 3001, 3002, 3003}).pass(1'000).quietly();
     s.arrive(31, kPartly, {0.5, 0.3, 0.15, 0.05}).arrive(32, kPartly, {0.25, 0.25, 0.25, 0.25});
