Alpha holds while too few sends end; widespread pressure counts servers heard of

Cause: at the grown size a front node takes a multiget every few seconds, so alpha had fallen to 0 before each next one, and a quarter of all ready servers was never pressed within one second. Alpha now falls only in seconds that show enough ends, and pressure is widespread when over a quarter of the servers with an end in that second pressed. Tried with it and without it, not kept: silence judged by a median that counts sends still out. Covers any sparse traffic; may harm where one loaded second is followed by a long idle time: the next multiget is then cut without need.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -261,7 +261,7 @@
 
 // ---- Pulse
 
-constexpr int kFewServers = 4;  // up to a quarter of them is a few
+constexpr std::size_t kFewServers = 4;  // up to a quarter of them is a few
 
 class Pulse {
 public:
@@ -271,6 +271,7 @@
 
     void take(const Strain& strain) {
         ++s_.ended;
+        s_.ended_servers.insert(strain.server);
         if (!strain.pressing) return;
         ++s_.pressing;
         s_.pressed_servers.insert(strain.server);
@@ -296,11 +297,11 @@
         s_.window_ends = post_.now + kWindow;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
-        const bool widespread = static_cast<int>(s_.pressed_servers.size()) * kFewServers > s_.ready;
+        const bool widespread = s_.pressed_servers.size() * kFewServers > s_.ended_servers.size();
         const bool over = s_.ended >= kLeastEnded && s_.pressing > kMark * s_.ended;
         const double before = s_.alpha;
         const double step = kStep * s_.mean_weight;
-        if (!over) s_.alpha = std::max(0.0, s_.alpha - step);
+        if (!over && s_.ended >= kLeastEnded) s_.alpha = std::max(0.0, s_.alpha - step);
         if (over && widespread) s_.alpha = std::clamp(s_.alpha * 2, step, kCap * s_.mean_weight);
         if (before == 0 && s_.alpha > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
         if (s_.alpha != before) post_.desk.push_back(Alpha{s_.alpha});
@@ -313,6 +314,7 @@
         s_.bearing.clear();
         s_.ended = s_.pressing = 0;
         s_.pressed_servers.clear();
+        s_.ended_servers.clear();
         for (auto& [id, inbox] : post_.servers) inbox.push_back(s_.pace);
     }
 
@@ -532,7 +534,7 @@
 
     // Servers that fail some of their parts are worth their errors while too many fail to do without them.
     bool is_away(const Card& card) const {
-        const bool many = s_.failing * kFewServers > static_cast<int>(s_.cards.size());
+        const bool many = s_.failing * static_cast<int>(kFewServers) > static_cast<int>(s_.cards.size());
         return card.standing == Standing::kAside || (card.standing == Standing::kFailing && !many);
     }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -158,6 +158,7 @@
 struct PulseState {  // of the instance; the counts are of the present window
     int ended = 0;
     int pressing = 0;
+    std::set<ServerId> ended_servers;  // where a send ended or became overdue
     std::set<ServerId> pressed_servers;
     int borne = 0;  // answers of warm servers
     std::set<ServerId> bearing;
