--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -295,27 +295,28 @@
     void take(const Tick&) {
         if (post_.now < s_.window_ends) return;
         s_.window_ends = post_.now + kWindow;
+        if (!s_.bearing.empty()) {
+            const double borne = s_.borne / static_cast<double>(s_.bearing.size()) / kWindow;
+            s_.pace.borne += (borne - s_.pace.borne) / 8;
+        }
+        s_.borne = 0;
+        s_.bearing.clear();
+        for (auto& [id, inbox] : post_.servers) inbox.push_back(s_.pace);
+        // A node that sees few ends needs more than one window to tell: alpha stays, the counts go on.
+        if (s_.ended < kLeastEnded) return;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
         const bool widespread = s_.pressed_servers.size() * kFewServers > s_.ended_servers.size();
-        const bool over = s_.ended >= kLeastEnded && s_.pressing > kMark * s_.ended;
+        const bool over = s_.pressing > kMark * s_.ended;
         const double before = s_.alpha;
         const double step = kStep * s_.mean_weight;
-        if (!over && s_.ended >= kLeastEnded) s_.alpha = std::max(0.0, s_.alpha - step);
+        if (!over) s_.alpha = std::max(0.0, s_.alpha - step);
         if (over && widespread) s_.alpha = std::clamp(s_.alpha * 2, step, kCap * s_.mean_weight);
         if (before == 0 && s_.alpha > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
         if (s_.alpha != before) post_.desk.push_back(Alpha{s_.alpha});
-
-        if (!s_.bearing.empty()) {
-            const double borne = s_.borne / static_cast<double>(s_.bearing.size()) / kWindow;
-            s_.pace.borne += (borne - s_.pace.borne) / 8;
-        }
-        s_.borne = 0;
-        s_.bearing.clear();
         s_.ended = s_.pressing = 0;
         s_.pressed_servers.clear();
         s_.ended_servers.clear();
-        for (auto& [id, inbox] : post_.servers) inbox.push_back(s_.pace);
     }
 
 private:
