--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -306,7 +306,8 @@
         if (s_.ended < kLeastEnded) return;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
-        const bool widespread = s_.pressed_servers.size() * kFewServers > s_.ended_servers.size();
+        const std::size_t few = std::max(kFewServers, s_.ended_servers.size() / kFewServers);
+        const bool widespread = s_.pressed_servers.size() > few;
         const bool over = s_.pressing > kMark * s_.ended;
         const double before = s_.alpha;
         const double step = kStep * s_.mean_weight;
