--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -288,6 +288,7 @@
     }
 
     void take(const Weighed& w) {
+        s_.alpha_used = true;
         s_.mean_weight += (w.mean - s_.mean_weight) / (s_.mean_weight > 0 ? 8 : 1);
     }
     void take(const Fleet& fleet) { s_.ready = fleet.ready; }
@@ -302,19 +303,22 @@
         s_.borne = 0;
         s_.bearing.clear();
         for (auto& [id, inbox] : post_.servers) inbox.push_back(s_.pace);
-        // A node that sees few ends needs more than one window to tell: alpha stays, the counts go on.
-        if (s_.ended < kLeastEnded) return;
+        // A node that sees few ends needs more than one window to tell: the counts go on. Alpha falls only after
+        // a window that used it: else, at a node that takes a multiget each few seconds, it is gone before the next.
+        const bool enough = s_.ended >= kLeastEnded;
+        if (!enough && !std::exchange(s_.alpha_used, false)) return;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
         const std::size_t few = std::max(kFewServers, s_.ended_servers.size() / kFewServers);
         const bool widespread = s_.pressed_servers.size() > few;
-        const bool over = s_.pressing > kMark * s_.ended;
+        const bool over = enough && s_.pressing > kMark * s_.ended;
         const double before = s_.alpha;
         const double step = kStep * s_.mean_weight;
         if (!over) s_.alpha = std::max(0.0, s_.alpha - step);
         if (over && widespread) s_.alpha = std::clamp(s_.alpha * 2, step, kCap * s_.mean_weight);
         if (before == 0 && s_.alpha > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
         if (s_.alpha != before) post_.desk.push_back(Alpha{s_.alpha});
+        if (!enough) return;
         s_.ended = s_.pressing = 0;
         s_.pressed_servers.clear();
         s_.ended_servers.clear();
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -166,6 +166,7 @@
     int ready = 0;  // servers listed
     double mean_weight = 0;
     double alpha = 0;
+    bool alpha_used = false;  // for a multiget of this window
     Pace pace;
 };
 
