Repeats due fade by arrivals that are none; a quarter of the ready or four is widespread

Cause: repeats due faded within a route timeout, and a node at size takes a multiget of an op type each ten seconds or more, so no repeat was ever known there. In small fleets pressure must be able to be widespread with fewer than five servers.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -291,7 +291,7 @@
         s_.alpha_used = true;
         s_.mean_weight += (w.mean - s_.mean_weight) / (s_.mean_weight > 0 ? 8 : 1);
     }
-    void take(const Fleet& fleet) { s_.ready = fleet.ready; }
+    void take(const Fleet& fleet) { s_.ready = static_cast<std::size_t>(fleet.ready); }
 
     void take(const Tick&) {
         if (post_.now < s_.window_ends) return;
@@ -309,7 +309,8 @@
         if (!enough && !std::exchange(s_.alpha_used, false)) return;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
-        const std::size_t few = std::max(kFewServers, s_.ended_servers.size() / kFewServers);
+        const std::size_t few = std::max(std::min(s_.ready / kFewServers, kFewServers),
+                                         s_.ended_servers.size() / kFewServers);
         const bool widespread = s_.pressed_servers.size() > few;
         const bool over = enough && s_.pressing > kMark * s_.ended;
         const double before = s_.alpha;
@@ -480,13 +481,13 @@
     // lately: else clients that grow impatient by themselves would be taken for repeats and pushed back, for
     // ever.
     Time client_start(MultigetState& mg, const OpType& type) {
+        constexpr double kStillDue = 3.0 / 4;  // after one that is none; by time, a node that sees few would forget
         auto& tries = s_.tries.at(static_cast<std::size_t>(mg.told.op_type));
         const Time span = mg.told.not_after - post_.now;
         const bool usual = std::max(span - tries.usual, tries.usual - span) <= type.latency_budget / 20;
         tries.trust += usual ? 1 : -1;
-        if (tries.trust < 0) tries = {span, 1, tries.seen, tries.repeats_due};  // the majority's
-        const auto since = static_cast<double>(post_.now - std::exchange(tries.seen, post_.now));
-        tries.repeats_due *= 1 - std::min(1.0, since / static_cast<double>(type.route_timeout));
+        if (tries.trust < 0) tries = {span, 1, tries.repeats_due};  // the majority's
+        if (usual) tries.repeats_due *= kStillDue;
         mg.repeat = !usual && (clients_.marks_repeats ? mg.told.repeat : tries.repeats_due >= 1);
         if (mg.repeat) tries.repeats_due -= 1;
         return mg.repeat ? std::min(post_.now, mg.told.not_after - type.route_timeout) : post_.now;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -163,7 +163,7 @@
     int borne = 0;  // answers of warm servers
     std::set<ServerId> bearing;
     Time window_ends = 0;
-    int ready = 0;  // servers listed
+    std::size_t ready = 0;  // servers listed
     double mean_weight = 0;
     double alpha = 0;
     bool alpha_used = false;  // for a multiget of this window
@@ -173,7 +173,6 @@
 struct TriesSeen {
     Time usual = 0;  // what clients mostly give one
     int trust = 0;   // that it is still usual
-    Time seen = 0;
     double repeats_due = 0;
 };
 
