A part left without a fit replica may go to any, once over half of the weight is in

A part with nothing out may now go there too, last of all, once over half of its multiget's weight is in. The half keeps further sends from feeding a loaded small fleet. May harm where the unfit replica is truly gone.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -417,7 +417,9 @@
         const auto& type = type_of(mg->told);
         if (!may_send(*part, type)) part->stage = Stage::kLost;
         if (part->stage == Stage::kLost) return review(*mg);
-        if (const auto* card = pick(*part, type, mg->budget_ends - post_.now)) send(*mg, *part, type, *card);
+        const bool nearly_in = !part->sends.empty() && mg->tally().in > kNearly;
+        const auto* card = pick(*part, type, mg->budget_ends - post_.now, nearly_in);
+        if (card != nullptr) send(*mg, *part, type, *card);
     }
 
     void take(const SendOver& over) {
@@ -474,6 +476,7 @@
 
 private:
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
+    static constexpr double kNearly = 0.5;        // of the weight, in
     static constexpr double kHopeful = 0.4;       // of the time left that an expected wait may take
 
     // // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when
@@ -574,18 +577,19 @@
     // at random. Replicas that are set aside, on trial, or too slow for the time left come last, and never
     // first for what cannot be sent again; a further send goes only where there is credit, not where the part
     // was before, and within the budget.
-    const Card* pick(const PartState& part, const OpType& type, Time left) {
+    const Card* pick(const PartState& part, const OpType& type, Time left, bool nearly_in = false) {
         const bool is_further = !part.sends.empty();
         if (is_further && !budget_.allows(post_.now)) return nullptr;
         std::vector<const Card*> best;
         std::array<int, 3> lowest{};
         for (const auto& [id, card] : s_.cards) {
             if (!card.listed_ready || !ring_.holds(card.place, part.told.shard) || card.room < 1) continue;
-            if (is_further && (card.credit < 1 || is_away(card) || part.was_at(id))) continue;
+            const bool unfit = is_further && (card.credit < 1 || is_away(card) || part.was_at(id));
+            if (unfit && (part.stage != Stage::kWaiting || !nearly_in)) continue;
             const bool may_repeat = type.repeat == Repeat::kRetriable;
             const bool too_slow = card.wait > static_cast<Time>(kHopeful * static_cast<double>(left));
             const bool doubted = card.standing != Standing::kGood && !may_repeat;
-            const int last = is_away(card) ? 2 : (doubted || too_slow ? 1 : 0);
+            const int last = (unfit ? 3 : 0) + (is_away(card) ? 2 : (doubted || too_slow ? 1 : 0));
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
             if (best.empty() || rank < lowest) {
                 best.clear();
