--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -193,7 +193,9 @@
     void see_wait(Time took, bool at_least) {
         const Time before = std::max<Time>(0, s_.wait - (post_.now - s_.wait_seen));
         if (at_least && took <= before) return;
-        s_.wait = before + (took - before) / 4;
+        // Where answers are rare each is all that is known; a node that sees many smooths them.
+        const auto rare = static_cast<double>(post_.now - s_.wait_seen) / static_cast<double>(aside_for_);
+        s_.wait = before + static_cast<Time>(static_cast<double>(took - before) * std::clamp(rare, 0.25, 1.0));
         s_.wait_seen = post_.now;
     }
 
