Under pressure multigets are taken as far as timely answers have earned

While alpha is up each send costs one part's credit, an answer within half its latency budget earns 1.5, a later one 2/3, time a quarter of this node's even share of what one core a server bears; at most two of the longest multigets are saved. Covers any drowned fleet; may harm where alpha rises for other reasons than load.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -267,7 +267,7 @@
 
 class Pulse {
 public:
-    Pulse(Post& post, Time shortest_budget) : post_(post) {
+    Pulse(Post& post, Time shortest_budget, int front_nodes) : post_(post), front_nodes_(front_nodes) {
         s_.pace = {static_cast<double>(shortest_budget) / 8, static_cast<double>(shortest_budget) / 4, 0};
     }
 
@@ -320,7 +320,8 @@
         if (!over) s_.alpha = std::max(0.0, s_.alpha - step);
         if (over && widespread) s_.alpha = std::clamp(s_.alpha * 2, step, kCap * s_.mean_weight);
         if (before == 0 && s_.alpha > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
-        if (s_.alpha != before) post_.desk.push_back(Alpha{s_.alpha});
+        const double share = static_cast<double>(s_.ready) / s_.pace.quick / front_nodes_;
+        post_.desk.push_back(Alpha{s_.alpha, share});
         if (!enough) return;
         s_.ended = s_.pressing = 0;
         s_.pressed_servers.clear();
@@ -336,6 +337,7 @@
     static constexpr double kCap = 2;
 
     Post& post_;
+    const int front_nodes_;
     PulseState s_;
 };
 
@@ -384,7 +386,10 @@
             (card.standing == Standing::kFailing) - (s_.cards[card.server].standing == Standing::kFailing);
         s_.cards[card.server] = card;
     }
-    void take(const Alpha& alpha) { s_.alpha = alpha.value; }
+    void take(const Alpha& alpha) {
+        s_.alpha = alpha.value;
+        s_.even_share = alpha.even_share;
+    }
 
     void take(const MultigetArrival& told) {
         budget_.note(post_.now, 1 + static_cast<int>(told.parts.size()), 0);
@@ -392,6 +397,9 @@
         mg.told = told;
         mg.told.parts.clear();
         const auto& type = type_of(told);
+        if (const auto parts = static_cast<double>(told.parts.size()); parts > s_.most_parts) {
+            s_.credit += 2 * (parts - std::exchange(s_.most_parts, parts));
+        }
         mg.answer_by = told.not_after - 2 * turn_;
         mg.budget_ends = std::min(mg.answer_by, client_start(mg, type) + type.latency_budget - 4 * turn_);
         add_parts(mg, told.parts);
@@ -432,6 +440,7 @@
         sent.may_have_run = !proven_not_run(over.outcome);
         if (!part->open()) return;
         if (over.outcome == Outcome::kReturned) {
+            earn(post_.now - sent.sent <= type_of(mg->told).latency_budget / 2 ? kEarned : 1 / kEarned);
             part->stage = Stage::kIn;
             call_off_rest(*part);
             return review(*mg);
@@ -463,6 +472,8 @@
     }
 
     void take(const Tick&) {
+        const auto since = static_cast<double>(post_.now - std::exchange(s_.earned_until, post_.now));
+        earn(s_.even_share * since / 4);
         std::vector<Id> ids;
         for (const auto& [id, mg] : s_.multigets) ids.push_back(id);
         for (const Id id : ids) {
@@ -477,6 +488,7 @@
     }
 
 private:
+    static constexpr double kEarned = 1.5;  // parts, by an answer within half its latency budget
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
     static constexpr double kNearly = 0.5;        // of the weight, in
     static constexpr double kHopeful = 0.4;       // of the time left that an expected wait may take
@@ -531,14 +543,22 @@
         // What cannot be answered in time is pushed back before any part is sent: parts that end too late to
         // serve an answer still take their servers' time, and under load that makes the next ones late too.
         if (hopeful + kRounding < type.least_share) return give_up(mg);
+        // Under pressure a multiget is taken only as far as answers have earned it: a node that sees little of a
+        // fleet learns of its queues too late, and all nodes together would keep them full for ever.
+        std::size_t afford = mg.parts.size();
+        if (s_.alpha > 0) afford = std::min(afford, static_cast<std::size_t>(s_.credit));
+        std::size_t needed = 0;
+        for (double sum = 0; needed < order.size() && sum + kRounding < guard; ++needed) sum -= std::get<1>(order[needed]);
+        if (needed > afford) return give_up(mg);
         for (const auto& [hopeless, minus, i] : order) {
             auto& part = mg.parts[i];
-            const bool cut = hopeless || part.told.weight <= s_.alpha;
+            const bool cut = hopeless || part.told.weight <= s_.alpha || afford == 0;
             if (type.least_share < type.whole_share && cut && covered >= guard) {
                 part.stage = Stage::kLeftOut;
                 continue;
             }
             covered += part.told.weight;
+            if (afford > 0) --afford;
             post_.desk.push_back(PlacePart{part.told.id});
         }
         if (mg.parts.empty()) review(mg);
@@ -606,6 +626,7 @@
     void send(MultigetState& mg, PartState& part, const OpType& type, const Card& card) {
         const bool is_further = !part.sends.empty();
         const Time useful = type.late_importance > 0 ? mg.answer_by : mg.budget_ends;
+        s_.credit = std::max(0.0, s_.credit - 1);
         if (is_further) budget_.note(post_.now, 0, 1);
         part.stage = Stage::kOut;
         part.further_wanted = false;
@@ -615,6 +636,8 @@
                                                    type.latency_budget / 2, is_further});
     }
 
+    void earn(double credit) { s_.credit = std::min(2.0 * s_.most_parts, s_.credit + credit); }
+
     void call_off_rest(PartState& part) {
         if (!sends_.cancel) return;
         for (std::size_t i = 0; i < part.sends.size(); ++i) {
@@ -698,7 +721,7 @@
     Parts(std::uint64_t seed, NodePlace at, std::vector<OpType> op_types, ShardRing shards, SendTerms sends,
           FurtherSendTerms further, ColdTerms cold_terms, ListTerms list, ClientTerms clients)
         : place(at), ring(shards), cold(cold_terms), shortest(shortest_budget(op_types)),
-          follower(post, list), pulse(post, shortest),
+          follower(post, list), pulse(post, shortest, at.front_nodes),
           desk(post, std::move(op_types), shards, sends, further, clients, at.turn) {
         post.chance.seed(static_cast<std::uint32_t>(seed ^ (seed >> 32U)));
     }
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -65,6 +65,7 @@
 };
 struct Alpha {
     double value = 0;
+    double even_share = 0;  // parts in a tenth of a millisecond: of what one core of each server bears
 };
 struct PlacePart {
     Id part = 0;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -182,6 +182,10 @@
     std::map<ServerId, Card> cards;
     int failing = 0;               // cards of servers that are
     std::vector<TriesSeen> tries;  // by op type
+    double credit = 0;             // parts that may be sent under pressure
+    double most_parts = 0;         // of a multiget so far
+    double even_share = 0;
+    Time earned_until = 0;
     double alpha = 0;
 
     std::pair<MultigetState*, PartState*> find(Id part) {
