--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -398,7 +398,7 @@
         mg.told.parts.clear();
         const auto& type = type_of(told);
         if (const auto parts = static_cast<double>(told.parts.size()); parts > s_.most_parts) {
-            s_.credit += 2 * (parts - std::exchange(s_.most_parts, parts));
+            s_.credit += (parts - std::exchange(s_.most_parts, parts));
         }
         mg.answer_by = told.not_after - 2 * turn_;
         mg.budget_ends = std::min(mg.answer_by, client_start(mg, type) + type.latency_budget - 4 * turn_);
@@ -473,7 +473,7 @@
 
     void take(const Tick&) {
         const auto since = static_cast<double>(post_.now - std::exchange(s_.earned_until, post_.now));
-        earn(s_.even_share * since / 4);
+        earn(s_.even_share * since / 8);
         std::vector<Id> ids;
         for (const auto& [id, mg] : s_.multigets) ids.push_back(id);
         for (const Id id : ids) {
@@ -636,7 +636,7 @@
                                                    type.latency_budget / 2, is_further});
     }
 
-    void earn(double credit) { s_.credit = std::min(2.0 * s_.most_parts, s_.credit + credit); }
+    void earn(double credit) { s_.credit = std::min(s_.most_parts, s_.credit + credit); }
 
     void call_off_rest(PartState& part) {
         if (!sends_.cancel) return;
