Copies of a multiget's last eighth, where every part is needed

Without pressure, what is left when 7/8 are in gets a copy after a third of the latency budget. Kept for op types that need every part. Covers hung, slow, paused and cut off servers alike; may harm where spare capacity is short and alpha does not show it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -480,6 +480,7 @@
             review(s_.multigets.at(id));
             const auto it = s_.multigets.find(id);  // what has just ended gets no more sends
             if (it == s_.multigets.end()) continue;
+            want_stragglers(it->second);
             for (auto& part : it->second.parts) {
                 if (part.stage == Stage::kWaiting) post_.desk.push_back(PlacePart{part.told.id});
                 if (part.further_wanted) post_.desk.push_back(Overdue{part.told.id, 0});
@@ -514,6 +515,25 @@
         return op_types_.at(static_cast<std::size_t>(told.op_type));
     }
 
+    // A multiget of many parts ends with its slowest replica. Without pressure, what is left of one when seven
+    // eighths are in gets a copy elsewhere after a third of the budget, whatever keeps that one server.
+    void want_stragglers(MultigetState& mg) {
+        const auto& type = type_of(mg.told);
+        if (!sends_.second_copies || s_.alpha > 0 || type.least_share < type.whole_share) return;
+        std::size_t in = 0;
+        std::size_t open = 0;
+        for (const auto& part : mg.parts) {
+            in += part.stage == Stage::kIn ? 1 : 0;
+            open += part.open() ? 1 : 0;
+        }
+        if (in == 0 || open > std::max<std::size_t>(1, (in + open) / 8)) return;
+        const Time third = type.latency_budget / 3;
+        for (auto& part : mg.parts) {
+            if (part.stage != Stage::kOut || post_.now - part.sends.back().sent < third) continue;
+            part.further_wanted = part.further_wanted || part.count_out() == 1;
+        }
+    }
+
     void add_parts(MultigetState& mg, const std::vector<PartArrival>& parts) {
         mg.parts.clear();
         for (const auto& told : parts) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <set>
 #include <utility>
@@ -37,6 +38,9 @@
     bool any_out() const {
         return std::any_of(sends.begin(), sends.end(), [](const auto& s) { return !s.over; });
     }
+    std::ptrdiff_t count_out() const {
+        return std::count_if(sends.begin(), sends.end(), [](const auto& s) { return !s.over; });
+    }
     bool was_at(ServerId id) const {
         return std::any_of(sends.begin(), sends.end(), [&](const auto& s) { return s.server == id; });
     }
