--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -308,7 +308,7 @@
         // A node that sees few ends needs more than one window to tell: the counts go on. Alpha falls only after
         // a window that used it: else, at a node that takes a multiget each few seconds, it is gone before the next.
         const bool enough = s_.ended >= kLeastEnded;
-        if (!enough && !std::exchange(s_.alpha_used, false)) return;
+        if (!std::exchange(s_.alpha_used, false) && !enough) return;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
         const std::size_t few = std::max(std::min(s_.ready / kFewServers, kFewServers),
@@ -317,7 +317,7 @@
         const bool over = enough && s_.pressing > kMark * s_.ended;
         const double before = s_.alpha;
         const double step = kStep * s_.mean_weight;
-        if (!over) s_.alpha = std::max(0.0, s_.alpha - step);
+        if (!over) s_.alpha = std::max(0.0, s_.alpha - 2 * step);
         if (over && widespread) s_.alpha = std::clamp(s_.alpha * 2, step, kCap * s_.mean_weight);
         if (before == 0 && s_.alpha > 0) post_.actions.emplace_back(LogLine{"pressure: alpha rises"});
         const double share = static_cast<double>(s_.ready) / s_.pace.quick / front_nodes_;
