--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -44,26 +44,17 @@
             return;
         }
         if (news.kind != ListKind::kSaved) watching_ = true;
-        if (news.kind != ListKind::kChanges) {
-            for (auto& [id, entry] : listed_) {
-                entry.state = ServerState::kGone;
-                post_.servers[id].push_back(entry);
-            }
-            listed_.clear();
-        }
-        for (const auto& entry : news.entries) {
-            listed_[entry.server] = entry;
+        for (const auto& entry : listed_.apply(news)) {
+            post_.known.insert(entry.server);
             post_.servers[entry.server].push_back(entry);
         }
-        Fleet fleet;
-        for (const auto& [id, entry] : listed_) fleet.ready += entry.state == ServerState::kReady ? 1 : 0;
-        post_.pulse.push_back(fleet);
+        post_.pulse.push_back(Fleet{listed_.count_ready()});
     }
 
 private:
     Post& post_;
     const ListTerms terms_;
-    std::map<ServerId, ListEntry> listed_;
+    ListState listed_;
     bool watching_ = false;
     Time ask_at_ = 0;
 };
@@ -113,7 +104,7 @@
     }
 
     void take(const Pace& pace) {
-        // // Long beside what the others show: under load all are slow, and copies would make that worse.
+        // Long beside what the others show: under load all are slow, and copies would make that worse.
         constexpr double kFarBehind = 3.75;
         s_.pace = pace;
         s_.slow = std::max(silence_, static_cast<Time>(kFarBehind * pace.mean));
@@ -182,14 +173,6 @@
             Strain{id_, ended.outcome == Outcome::kFull || ended.outcome == Outcome::kTimedOut});
     }
 
-    // The wait that this node's latest answers showed, less the time since, in which a queue that nobody adds
-    // to would have shrunk; at least the age of the oldest send that is still out.
-    Time expected_wait() const {
-        Time wait = std::max<Time>(0, s_.wait - (post_.now - s_.wait_seen));
-        if (s_.is_away()) return wait;
-        return std::max(wait, post_.now - s_.oldest_sent(post_.now));
-    }
-
     void see_wait(Time took, bool at_least) {
         const Time before = std::max<Time>(0, s_.wait - (post_.now - s_.wait_seen));
         if (at_least && took <= before) return;
@@ -238,7 +221,9 @@
     }
 
     void publish() {
-        Card card = s_.card(id_, expected_wait());
+        if (!s_.out.empty() || s_.is_away() || is_cold()) post_.awake.insert(id_);
+        else post_.awake.erase(id_);
+        Card card = s_.card(id_);
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
         // On trial it gets one part. While aside it gets one only where no other replica is left, which tells
         // early that a stall of many is over, and keeps all but that one part out of a hole.
@@ -304,7 +289,7 @@
         }
         s_.borne = 0;
         s_.bearing.clear();
-        for (auto& [id, inbox] : post_.servers) inbox.push_back(s_.pace);
+        for (const auto& id : post_.known) post_.servers[id].push_back(s_.pace);
         // A node that sees few ends needs more than one window to tell: the counts go on. Alpha falls only after
         // a window that used it: else, at a node that takes a multiget each few seconds, it is gone before the next.
         const bool enough = s_.ended >= kLeastEnded;
@@ -349,24 +334,19 @@
     FurtherBudget(FurtherSendTerms terms, Time turn) : terms_(terms), slack_(turn) {}
 
     void note(Time now, int taken, int sent) {
-        if (terms_.look_back == 0) return;
-        while (!log_.empty() && log_.front().at < now - terms_.look_back - slack_) log_.pop_front();
-        log_.push_back({now, taken, sent});
+        if (terms_.look_back > 0) log_.note({now, taken, sent}, now - terms_.look_back - slack_);
     }
 
     bool allows(Time now) const {  // a turn too early or too late counts against it
-        double room = terms_.floor;
-        for (const auto& entry : log_) {
-            if (entry.at > now - terms_.look_back + slack_) room += terms_.ratio * entry.taken;
-            if (entry.at >= now - terms_.look_back - slack_) room -= entry.sent;
-        }
-        return terms_.look_back == 0 || room >= 1;
+        if (terms_.look_back == 0) return true;
+        const double earned = terms_.ratio * log_.taken_after(now - terms_.look_back + slack_);
+        return terms_.floor + earned - log_.sent_from(now - terms_.look_back - slack_) >= 1;
     }
 
 private:
     const FurtherSendTerms terms_;
     const Time slack_;
-    std::deque<Counted> log_;
+    SendLog log_;
 };
 
 class Desk {
@@ -381,11 +361,7 @@
     using Stage = PartState::Stage;
 
     bool idle() const { return s_.multigets.empty(); }
-    void take(const Card& card) {
-        s_.failing +=
-            (card.standing == Standing::kFailing) - (s_.cards[card.server].standing == Standing::kFailing);
-        s_.cards[card.server] = card;
-    }
+    void take(const Card& card) { s_.show(card); }
     void take(const Alpha& alpha) {
         s_.alpha = alpha.value;
         s_.even_share = alpha.even_share;
@@ -402,7 +378,7 @@
         }
         mg.answer_by = told.not_after - 2 * turn_;
         mg.budget_ends = std::min(mg.answer_by, client_start(mg, type) + type.latency_budget - 4 * turn_);
-        add_parts(mg, told.parts);
+        s_.add_parts(mg, told.parts);
 
         if (type.least_share < type.whole_share && !mg.parts.empty()) {
             post_.pulse.push_back(Weighed{1.0 / static_cast<double>(mg.parts.size())});
@@ -415,7 +391,7 @@
             if (!mg.awaiting_step || mg.told.number != step.number) continue;
             budget_.note(post_.now, static_cast<int>(step.parts.size()), 0);
             mg.awaiting_step = false;
-            add_parts(mg, step.parts);
+            s_.add_parts(mg, step.parts);
             for (const auto& part : mg.parts) post_.desk.push_back(PlacePart{part.told.id});
             return;
         }
@@ -494,7 +470,7 @@
     static constexpr double kNearly = 0.5;        // of the weight, in
     static constexpr double kHopeful = 0.4;       // of the time left that an expected wait may take
 
-    // // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when
+    // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when
     // that client began. Where repeats are not marked, no more are guessed than follow from what was given up
     // lately: else clients that grow impatient by themselves would be taken for repeats and pushed back, for
     // ever.
@@ -520,13 +496,8 @@
     void want_stragglers(MultigetState& mg) {
         const auto& type = type_of(mg.told);
         if (!sends_.second_copies || s_.alpha > 0 || type.least_share < type.whole_share) return;
-        std::size_t in = 0;
-        std::size_t open = 0;
-        for (const auto& part : mg.parts) {
-            in += part.stage == Stage::kIn ? 1 : 0;
-            open += part.open() ? 1 : 0;
-        }
-        if (in == 0 || open > std::max<std::size_t>(1, (in + open) / 8)) return;
+        const auto tally = mg.tally();
+        if (tally.parts_in == 0 || tally.parts_open > std::max(1, (tally.parts_in + tally.parts_open) / 8)) return;
         const Time third = type.latency_budget / 3;
         for (auto& part : mg.parts) {
             if (part.stage != Stage::kOut || post_.now - part.sends.back().sent < third) continue;
@@ -534,14 +505,6 @@
         }
     }
 
-    void add_parts(MultigetState& mg, const std::vector<PartArrival>& parts) {
-        mg.parts.clear();
-        for (const auto& told : parts) {
-            s_.part_of[told.id] = {mg.told.id, mg.parts.size()};
-            mg.parts.push_back({told, Stage::kWaiting, {}, false});
-        }
-    }
-
     // The design's selection, with a floor guard: parts above alpha go out, and so do the heaviest ones that
     // cover the least share and a quarter of the rest, for where many parts weigh the same or nearly nothing.
     void select(MultigetState& mg, const OpType& type) {
@@ -590,16 +553,23 @@
         return card.standing == Standing::kAside || (card.standing == Standing::kFailing && !many);
     }
 
+    // The wait that this node's latest answers showed, less the time since, in which a queue that nobody adds
+    // to would have shrunk; at least the age of the oldest send that is still out.
+    Time expected_wait(const Card& card) const {
+        const Time left = std::max<Time>(0, card.wait - (post_.now - card.wait_seen));
+        return card.oldest_out > 0 ? std::max(left, post_.now - card.oldest_out) : left;
+    }
+
     Time shortest_wait(const PartState& part) const {
         // Where every replica is aside they count after all: what made so many silent may be over by now, and
         // pushing back everything until the first returns would make a short stall a long one.
         constexpr Time kNone = std::numeric_limits<Time>::max();
         Time shortest = kNone;
         Time aside = kNone;
-        for (const auto& [id, card] : s_.cards) {
-            if (!card.listed_ready || !ring_.holds(card.place, part.told.shard) || card.room < 1) continue;
-            auto& which = is_away(card) ? aside : shortest;
-            which = std::min(which, card.wait);
+        for (const auto* card : s_.holders(ring_, part.told.shard)) {
+            if (!card->listed_ready || card->room < 1) continue;
+            auto& which = is_away(*card) ? aside : shortest;
+            which = std::min(which, expected_wait(*card));
         }
         return shortest == kNone ? aside : shortest;
     }
@@ -624,12 +594,13 @@
         if (is_further && !budget_.allows(post_.now)) return nullptr;
         std::vector<const Card*> best;
         std::array<int, 3> lowest{};
-        for (const auto& [id, card] : s_.cards) {
-            if (!card.listed_ready || !ring_.holds(card.place, part.told.shard) || card.room < 1) continue;
-            const bool unfit = is_further && (card.credit < 1 || is_away(card) || part.was_at(id));
+        for (const auto* holder : s_.holders(ring_, part.told.shard)) {
+            const auto& card = *holder;
+            if (!card.listed_ready || card.room < 1) continue;
+            const bool unfit = is_further && (card.credit < 1 || is_away(card) || part.was_at(card.server));
             if (unfit && (part.stage != Stage::kWaiting || !nearly_in)) continue;
             const bool may_repeat = type.repeat == Repeat::kRetriable;
-            const bool too_slow = card.wait > static_cast<Time>(kHopeful * static_cast<double>(left));
+            const bool too_slow = expected_wait(card) > static_cast<Time>(kHopeful * static_cast<double>(left));
             const bool doubted = card.standing != Standing::kGood && !may_repeat;
             const int last = (unfit ? 3 : 0) + (is_away(card) ? 2 : (doubted || too_slow ? 1 : 0));
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
@@ -637,7 +608,7 @@
                 best.clear();
                 lowest = rank;
             }
-            if (rank == lowest) best.push_back(&card);
+            if (rank == lowest) best.push_back(holder);
         }
         if (best.empty()) return nullptr;
         return best[post_.chance() % best.size()];
@@ -671,7 +642,8 @@
         if (mg.awaiting_step) return give_up(mg);
 
         const auto& type = type_of(mg.told);
-        const auto [in, pending, all_in, any_open] = mg.tally();
+        const auto [in, pending, all_in, parts_in, parts_open] = mg.tally();
+        const bool any_open = parts_open > 0;
         const double need = mg.step == 1 ? type.whole_share : 1;
         const bool whole = (all_in || (need < 1 && in + kRounding >= need)) && mg.step_one_whole;
         const bool floor_in = all_in || in + kRounding >= type.least_share;
@@ -713,9 +685,8 @@
     void drop_parts(MultigetState& mg) {
         for (auto& part : mg.parts) {
             if (part.any_out()) call_off_rest(part);
-            s_.part_of.erase(part.told.id);
         }
-        mg.parts.clear();
+        s_.drop_parts(mg);
     }
 
     void forget(MultigetState& mg) {
@@ -756,7 +727,8 @@
     void empty_inboxes() {
         for (bool busy = true; busy;) {
             busy = empty_one(follower, post.follower);
-            for (auto& [id, inbox] : post.servers) {
+            for (; !post.servers.empty(); post.servers.erase(post.servers.begin())) {
+                auto& [id, inbox] = *post.servers.begin();
                 while (empty_one(server(id), inbox)) busy = true;
             }
             while (empty_one(pulse, post.pulse)) busy = true;
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <map>
 #include <random>
+#include <set>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -36,7 +37,9 @@
     int parts_out = 0;
     int room = std::numeric_limits<int>::max();  // parts it may be sent now
     double credit = 0;
-    Time wait = 0;  // what a part sent now may have to wait for its answer
+    Time wait = 0;  // what answers lately had to wait, when last seen
+    Time wait_seen = 0;
+    Time oldest_out = 0;  // when the oldest send still out was sent; 0 if none, or aside
     bool operator==(const Card&) const = default;
 };
 struct SendOver {
@@ -79,7 +82,9 @@
     std::variant<Tick, SendOver, Overdue, Alpha, MultigetArrival, SecondStep, ClientLeft, PlacePart>;
 
 struct Post {
-    std::map<ServerId, std::deque<ServerNote>> servers;
+    std::map<ServerId, std::deque<ServerNote>> servers;  // those with notes only
+    std::set<ServerId> known;                           // whoever the list named
+    std::set<ServerId> awake;                           // who has something out or due
     std::deque<PulseNote> pulse;
     std::deque<FollowerNote> follower;
     std::deque<DeskNote> desk;
@@ -90,7 +95,7 @@
 
     void tick_all() {
         follower.push_back(Tick{});
-        for (auto& [id, inbox] : servers) inbox.push_back(Tick{});
+        for (const auto& id : awake) servers[id].push_back(Tick{});
         pulse.push_back(Tick{});
         desk.push_back(Tick{});
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <deque>
+#include <limits>
 #include <map>
 #include <set>
 #include <utility>
@@ -51,7 +53,8 @@
     double in = 0;  // weight
     double pending = 0;
     bool all_in = true;
-    bool any_open = false;
+    int parts_in = 0;
+    int parts_open = 0;
 };
 
 struct MultigetState {
@@ -67,10 +70,12 @@
     Tally tally() const {
         Tally sum;
         for (const auto& part : parts) {
-            if (part.stage == PartState::Stage::kIn) sum.in += part.told.weight;
-            if (part.open()) sum.pending += part.told.weight;
-            sum.all_in = sum.all_in && part.stage == PartState::Stage::kIn;
-            sum.any_open = sum.any_open || part.open();
+            const bool is_in = part.stage == PartState::Stage::kIn;
+            sum.in += is_in ? part.told.weight : 0;
+            sum.pending += part.open() ? part.told.weight : 0;
+            sum.all_in = sum.all_in && is_in;
+            sum.parts_in += is_in ? 1 : 0;
+            sum.parts_open += part.open() ? 1 : 0;
         }
         return sum;
     }
@@ -93,6 +98,55 @@
     int sent = 0;
 };
 
+class SendLog {  // of what was taken and of further sends, for as long as they count
+public:
+    void note(const Counted& entry, Time keep_from) {
+        while (!log_.empty() && log_.front().at < keep_from) log_.pop_front();
+        log_.push_back(entry);
+    }
+    int taken_after(Time at) const {
+        int sum = 0;
+        for (const auto& entry : log_) sum += entry.at > at ? entry.taken : 0;
+        return sum;
+    }
+    int sent_from(Time at) const {
+        int sum = 0;
+        for (const auto& entry : log_) sum += entry.at >= at ? entry.sent : 0;
+        return sum;
+    }
+
+private:
+    std::deque<Counted> log_;
+};
+
+class ListState {  // what the list says, as last heard
+public:
+    // Returns the entries that are news; whom a full list does not name any more is gone.
+    std::vector<ListEntry> apply(const ListNews& news) {
+        std::vector<ListEntry> told;
+        if (news.kind != ListKind::kChanges) {
+            for (auto& [id, entry] : listed_) {
+                entry.state = ServerState::kGone;
+                told.push_back(entry);
+            }
+            listed_.clear();
+        }
+        for (const auto& entry : news.entries) {
+            listed_[entry.server] = entry;
+            told.push_back(entry);
+        }
+        return told;
+    }
+    int count_ready() const {
+        return static_cast<int>(std::count_if(listed_.begin(), listed_.end(), [](const auto& each) {
+            return each.second.state == ServerState::kReady;
+        }));
+    }
+
+private:
+    std::map<ServerId, ListEntry> listed_;
+};
+
 struct OutSend {  // one send, as its index server sees it
     Time sent = 0;
     Time overdue_at = 0;
@@ -125,12 +179,14 @@
     Time room_filled = 0;
 
     bool is_away() const { return standing == Standing::kAside || standing == Standing::kFailing; }
-    Card card(ServerId id, Time expected_wait) const {
+    Card card(ServerId id) const {
         Card made{id, entry.place, entry.state == ServerState::kReady, standing};
         made.calls_out = static_cast<int>(calls_out.size());
         made.parts_out = static_cast<int>(out.size());
         made.credit = credit;
-        made.wait = expected_wait;
+        made.wait = wait;
+        made.wait_seen = wait_seen;
+        made.oldest_out = out.empty() || is_away() ? 0 : oldest_sent(std::numeric_limits<Time>::max());
         return made;
     }
     int join_call(Time now, int parts_per_call) {  // sends of one turn share a call while it has room
@@ -192,6 +248,36 @@
     Time earned_until = 0;
     double alpha = 0;
 
+    std::map<int, std::set<ServerId>> at_place;
+
+    void show(const Card& card) {
+        auto& held = cards[card.server];
+        failing += (card.standing == Standing::kFailing) - (held.standing == Standing::kFailing);
+        at_place[held.place].erase(card.server);
+        at_place[card.place].insert(card.server);
+        held = card;
+    }
+    std::vector<const Card*> holders(const ShardRing& ring, int shard) const {  // by their ids
+        std::vector<const Card*> found;
+        for (int j = 0; j < ring.width && j < ring.places; ++j) {
+            const auto place = at_place.find((shard + j) % ring.places);
+            if (place == at_place.end()) continue;
+            for (const auto& id : place->second) found.push_back(&cards.at(id));
+        }
+        std::sort(found.begin(), found.end(), [](auto* a, auto* b) { return a->server < b->server; });
+        return found;
+    }
+    void add_parts(MultigetState& mg, const std::vector<PartArrival>& parts) {
+        mg.parts.clear();
+        for (const auto& told : parts) {
+            part_of[told.id] = {mg.told.id, mg.parts.size()};
+            mg.parts.push_back({told, PartState::Stage::kWaiting, {}, false});
+        }
+    }
+    void drop_parts(MultigetState& mg) {
+        for (const auto& part : mg.parts) part_of.erase(part.told.id);
+        mg.parts.clear();
+    }
     std::pair<MultigetState*, PartState*> find(Id part) {
         const auto it = part_of.find(part);
         if (it == part_of.end()) return {nullptr, nullptr};
