A trial whose part was called off is not used up

Cause: found in review; on trial a server got one part, and if that was called off with its multiget (usual for answers in part) the trial stayed used for ever: this node never sent there again.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -75,7 +75,6 @@
     void take(const Tick&) {
         if (s_.is_away() && post_.now >= s_.aside_until) {
             s_.standing = Standing::kTrial;
-            s_.trial_used = false;
             s_.heard = post_.now;
         }
         fill_cold_room();
@@ -98,7 +97,6 @@
         s_.out[{order.part, order.send}] = {post_.now, post_.now + order.patience, call, false};
         if (is_cold()) s_.cold_room -= 1;
         if (order.further) s_.credit -= 1;
-        if (s_.standing == Standing::kTrial) s_.trial_used = true;
         post_.actions.emplace_back(Send{order.part, id_, order.try_for});
         publish();
     }
@@ -227,9 +225,9 @@
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
         // On trial it gets one part. While aside it gets one only where no other replica is left, which tells
         // early that a stall of many is over, and keeps all but that one part out of a hole.
-        const bool tested = s_.standing == Standing::kTrial ? s_.trial_used : !s_.out.empty();
+        // (One that is called off has told nothing, and the next may go: else the server is lost for good.)
         if (s_.standing == Standing::kTrial || s_.standing == Standing::kAside) {
-            card.room = std::min(card.room, tested ? 0 : 1);
+            card.room = std::min(card.room, s_.out.empty() ? 1 : 0);
         }
         if (card == s_.shown) return;
         s_.shown = card;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -164,7 +164,6 @@
     Time call_turn = -1;
     Standing standing = Standing::kGood;
 
-    bool trial_used = false;
     Time aside_until = 0;
     Time heard = 0;
     Time slow = 0;  // a longer silence is suspicious
