Multigets are always taken for credit; alpha holds only where they come far apart

(1) Alpha now holds only where multigets it decides on come over two of the shortest latency budgets apart. (2) The credit gate no longer hangs on alpha: it is three of the longest multigets deep (or an even share of a budget's work), a third of that under pressure. Conclusion: the gate does by measure what false asides did by chance. May harm a burst of more than its depth at a quiet node.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -250,7 +250,8 @@
 
 class Pulse {
 public:
-    Pulse(Post& post, Time shortest_budget, int front_nodes) : post_(post), front_nodes_(front_nodes) {
+    Pulse(Post& post, Time shortest_budget, int front_nodes)
+        : post_(post), rare_(2 * shortest_budget), front_nodes_(front_nodes) {
         s_.pace = {static_cast<double>(shortest_budget) / 8, static_cast<double>(shortest_budget) / 4, 0};
     }
 
@@ -273,12 +274,14 @@
     }
 
     void take(const Weighed& w) {
-        s_.alpha_used = true;
+        const Time since = post_.now - std::exchange(s_.weighed, post_.now);
+        s_.gap += (since - s_.gap) / (s_.gap > 0 ? 4 : 1);
         s_.mean_weight += (w.mean - s_.mean_weight) / (s_.mean_weight > 0 ? 8 : 1);
     }
     void take(const Fleet& fleet) { s_.ready = static_cast<std::size_t>(fleet.ready); }
 
     void take(const Tick&) {
+        if (s_.weighed == 0) s_.weighed = post_.now;
         if (post_.now < s_.window_ends) return;
         s_.window_ends = post_.now + kWindow;
         if (!s_.bearing.empty()) {
@@ -288,10 +291,12 @@
         s_.borne = 0;
         s_.bearing.clear();
         for (const auto& id : post_.known) post_.servers[id].push_back(s_.pace);
-        // A node that sees few ends needs more than one window to tell: the counts go on. Alpha falls only after
-        // a window that used it: else, at a node that takes a multiget each few seconds, it is gone before the next.
+        // A node that sees few ends needs more than one window to tell: the counts go on. Alpha falls meanwhile;
+        // but where the multigets that it decides on come so far apart that one's outcomes are long known
+        // before the next, only after a window that used it: else it is gone each time.
         const bool enough = s_.ended >= kLeastEnded;
-        if (!std::exchange(s_.alpha_used, false) && !enough) return;
+        const bool used = post_.now - s_.weighed <= kWindow;
+        if (!enough && !used && s_.gap > rare_) return;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
         const std::size_t few = std::max(std::min(s_.ready / kFewServers, kFewServers),
@@ -320,6 +325,7 @@
     static constexpr double kCap = 2;
 
     Post& post_;
+    const Time rare_;
     const int front_nodes_;
     PulseState s_;
 };
@@ -363,6 +369,7 @@
     void take(const Alpha& alpha) {
         s_.alpha = alpha.value;
         s_.even_share = alpha.even_share;
+        deepen(alpha.even_share * static_cast<double>(shortest_budget(op_types_)));
     }
 
     void take(const MultigetArrival& told) {
@@ -371,9 +378,7 @@
         mg.told = told;
         mg.told.parts.clear();
         const auto& type = type_of(told);
-        if (const auto parts = static_cast<double>(told.parts.size()); parts > s_.most_parts) {
-            s_.credit += (parts - std::exchange(s_.most_parts, parts));
-        }
+        deepen(3 * static_cast<double>(told.parts.size()));
         mg.answer_by = told.not_after - 2 * turn_;
         mg.budget_ends = std::min(mg.answer_by, client_start(mg, type) + type.latency_budget - 4 * turn_);
         s_.add_parts(mg, told.parts);
@@ -524,13 +529,9 @@
         // What cannot be answered in time is pushed back before any part is sent: parts that end too late to
         // serve an answer still take their servers' time, and under load that makes the next ones late too.
         if (hopeful + kRounding < type.least_share) return give_up(mg);
-        // Under pressure a multiget is taken only as far as answers have earned it: a node that sees little of a
-        // fleet learns of its queues too late, and all nodes together would keep them full for ever.
-        std::size_t afford = mg.parts.size();
-        if (s_.alpha > 0) afford = std::min(afford, static_cast<std::size_t>(s_.credit));
-        std::size_t needed = 0;
-        for (double sum = 0; needed < order.size() && sum + kRounding < guard; ++needed) sum -= std::get<1>(order[needed]);
-        if (needed > afford) return give_up(mg);
+        // A multiget is taken only as far as timely answers have earned it: a node that sees little of a fleet
+        // learns of its queues too late, and all nodes together would keep them full for ever.
+        auto afford = static_cast<std::size_t>(s_.credit);
         for (const auto& [hopeless, minus, i] : order) {
             auto& part = mg.parts[i];
             const bool cut = hopeless || part.told.weight <= s_.alpha || afford == 0;
@@ -539,7 +540,7 @@
                 continue;
             }
             covered += part.told.weight;
-            if (afford > 0) --afford;
+            if (afford-- == 0) return give_up(mg);
             post_.desk.push_back(PlacePart{part.told.id});
         }
         if (mg.parts.empty()) review(mg);
@@ -625,7 +626,13 @@
                                                    type.latency_budget / 2, is_further});
     }
 
-    void earn(double credit) { s_.credit = std::min(s_.most_parts, s_.credit + credit); }
+    void earn(double credit) {
+        s_.credit = std::min(s_.alpha > 0 ? s_.depth / 3 : s_.depth, s_.credit + credit);
+    }
+    // As deep as three of the longest multigets, or this node's even share of a latency budget's work.
+    void deepen(double depth) {
+        if (depth > s_.depth) s_.credit += depth - std::exchange(s_.depth, depth);
+    }
 
     void call_off_rest(PartState& part) {
         if (!sends_.cancel) return;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -225,7 +225,8 @@
     std::size_t ready = 0;  // servers listed
     double mean_weight = 0;
     double alpha = 0;
-    bool alpha_used = false;  // for a multiget of this window
+    Time weighed = 0;  // when alpha last decided on a multiget
+    Time gap = 0;      // from one such to the next, of late
     Pace pace;
 };
 
@@ -241,8 +242,8 @@
     std::map<ServerId, Card> cards;
     int failing = 0;               // cards of servers that are
     std::vector<TriesSeen> tries;  // by op type
-    double credit = 0;             // parts that may be sent under pressure
-    double most_parts = 0;         // of a multiget so far
+    double credit = 0;             // parts that may be sent
+    double depth = 0;              // the most of it that is saved
     double even_share = 0;
     Time earned_until = 0;
     double alpha = 0;
