--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,6 +1,6 @@
 // All of pinedoor's decisions. The interface is logic.hpp: a caller makes one FrontNode for each front node's
-// life and hands it every turn's events, in order, by turn(); it carries out the actions returned, in order,
-// at that same time. Nothing else is kept, read or shared. A turn empties the inboxes of four kinds of actor:
+// life, hands it every turn's events, in order, by turn(), and carries out the actions returned, in order, at
+// that same time. Nothing else is kept, read or shared. A turn empties the inboxes of four kinds of actor:
 //   ListFollower  asks for the list where it must be asked for, and tells index servers what it says of them
 //   IndexServer   one replica: what is out there, its health, its credit, what it can bear while cold
 //   Pulse         this node's pressure: alpha, and what a part usually costs
@@ -15,6 +15,7 @@
 #include <map>
 #include <set>
 #include <tuple>
+#include <type_traits>
 #include <utility>
 
 #include "notes.hpp"
@@ -23,8 +24,6 @@
 namespace pinedoor {
 namespace {
 
-// ---- ListFollower
-
 class ListFollower {
 public:
     ListFollower(Post& post, ListTerms terms) : post_(post), terms_(terms) {}
@@ -59,14 +58,11 @@
     Time ask_at_ = 0;
 };
 
-// ---- IndexServer
-
 class IndexServer {
 public:
-    IndexServer(Post& post, ServerId id, ColdTerms cold, int front_nodes, int parts_per_call,
-                Time shortest_budget)
-        : post_(post), id_(id), cold_(cold), front_nodes_(front_nodes), parts_per_call_(parts_per_call),
-          silence_(shortest_budget / 2), aside_for_(shortest_budget) {
+    IndexServer(Post& post, ServerId id, ColdTerms cold, NodePlace at, ShardRing ring, Time shortest_budget)
+        : post_(post), id_(id), cold_(cold), front_nodes_(at.front_nodes),
+          parts_per_call_(ring.parts_per_call), silence_(shortest_budget / 2), aside_for_(shortest_budget) {
         s_.slow = silence_;
         s_.pace.quick = static_cast<double>(shortest_budget) / 8;
         s_.credit = 2;
@@ -126,8 +122,8 @@
         constexpr double kMostCredit = 8;
         constexpr int kMostFulls = 3;  // on end
         const bool away = s_.is_away();
-        if (ended.outcome <= Outcome::kError)
-            s_.heard = post_.now;  // a full room tells nothing of the server
+        const bool trial = s_.standing == Standing::kTrial;
+        if (ended.outcome <= Outcome::kError) s_.heard = post_.now;  // a full room tells nothing
         switch (ended.outcome) {
             case Outcome::kReturned:
                 s_.errors -= s_.errors * kErrorStep;
@@ -141,15 +137,12 @@
             case Outcome::kError:
                 s_.errors += (1 - s_.errors) * kErrorStep;
                 s_.credit = std::max(0.0, s_.credit - 1);
-                if (s_.errors > kErrorMark || s_.standing == Standing::kTrial)
-                    set_aside(Standing::kFailing, "errors");
+                if (s_.errors > kErrorMark || trial) set_aside(Standing::kFailing, "errors");
                 break;
             case Outcome::kFull:
-                // A hung server's room fills up, and then it refuses quickly, which looks like little out
-                // there.
+                // A hung server's room fills up; then it refuses quickly, which looks like little out there.
                 s_.credit = 0;
-                if (++s_.fulls >= kMostFulls || s_.standing == Standing::kTrial)
-                    set_aside(Standing::kAside, "full");
+                if (++s_.fulls >= kMostFulls || trial) set_aside(Standing::kAside, "full");
                 break;
             case Outcome::kNoConnection:
             case Outcome::kReset:
@@ -161,14 +154,13 @@
             case Outcome::kTimedOut:
                 s_.credit = std::max(0.0, s_.credit - 1);
                 see_wait(ended.took, true);
-                if (s_.standing == Standing::kTrial) set_aside(Standing::kAside, "trial timed out");
+                if (trial) set_aside(Standing::kAside, "trial timed out");
                 break;
             case Outcome::kCancelled: see_wait(ended.took, true); return;
             case Outcome::kNeverSent: return;
         }
-        if (out.strained || away) return;
-        post_.pulse.push_back(
-            Strain{id_, ended.outcome == Outcome::kFull || ended.outcome == Outcome::kTimedOut});
+        const bool pressing = ended.outcome == Outcome::kFull || ended.outcome == Outcome::kTimedOut;
+        if (!out.strained && !away) post_.pulse.push_back(Strain{id_, pressing});
     }
 
     void see_wait(Time took, bool at_least) {
@@ -176,7 +168,8 @@
         if (at_least && took <= before) return;
         // Where answers are rare each is all that is known; a node that sees many smooths them.
         const auto rare = static_cast<double>(post_.now - s_.wait_seen) / static_cast<double>(aside_for_);
-        s_.wait = before + static_cast<Time>(static_cast<double>(took - before) * std::clamp(rare, 0.25, 1.0));
+        const double gain = std::clamp(rare, 0.25, 1.0);
+        s_.wait = before + static_cast<Time>(static_cast<double>(took - before) * gain);
         s_.wait_seen = post_.now;
     }
 
@@ -190,10 +183,8 @@
     }
 
     void set_aside(Standing how, const char* why) {
-        if (s_.standing == Standing::kGood) {
-            post_.actions.emplace_back(
-                LogLine{"aside " + std::to_string(id_.address & 0xffffU) + ": " + why});
-        }
+        const auto line = "aside " + std::to_string(id_.address & 0xffffU) + ": " + why;
+        if (s_.standing == Standing::kGood) post_.actions.emplace_back(LogLine{line});
         s_.standing = how;
         s_.errors = 0;
         s_.aside_until = post_.now + aside_for_ + post_.random_part(aside_for_ / 2);
@@ -208,9 +199,8 @@
     void fill_cold_room() {
         if (!is_cold()) return;
         constexpr double kSafety = 0.9;
-        const double age =
-            static_cast<double>(post_.now - s_.started) / static_cast<double>(cold_.warm_after);
-        const double warmth = cold_.from + (1 - cold_.from) * std::clamp(age, 0.0, 1.0);
+        const auto age = static_cast<double>(std::max<Time>(0, post_.now - s_.started));
+        const double warmth = cold_.from + (1 - cold_.from) * age / static_cast<double>(cold_.warm_after);
         const double bears = std::max(s_.pace.borne, 1 / s_.pace.quick / front_nodes_);
         const double rate = kSafety * cold_.fall_multiple * warmth * bears;
         const double most = std::max(1.0, rate * static_cast<double>(cold_.tip_after) / 2);
@@ -219,16 +209,13 @@
     }
 
     void publish() {
-        if (!s_.out.empty() || s_.is_away() || is_cold()) post_.awake.insert(id_);
-        else post_.awake.erase(id_);
+        post_.wake(id_, !s_.out.empty() || s_.is_away() || is_cold());
         Card card = s_.card(id_);
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
-        // On trial it gets one part. While aside it gets one only where no other replica is left, which tells
-        // early that a stall of many is over, and keeps all but that one part out of a hole.
-        // (One that is called off has told nothing, and the next may go: else the server is lost for good.)
-        if (s_.standing == Standing::kTrial || s_.standing == Standing::kAside) {
-            card.room = std::min(card.room, s_.out.empty() ? 1 : 0);
-        }
+        // On trial it gets one part at a time, and one that is called off has told nothing. So too while aside,
+        // where no other replica is left: it tells early that a stall of many is over.
+        const bool doubted = s_.standing == Standing::kTrial || s_.standing == Standing::kAside;
+        if (doubted) card.room = std::min(card.room, s_.out.empty() ? 1 : 0);
         if (card == s_.shown) return;
         s_.shown = card;
         post_.cards.push_back(card);
@@ -244,8 +231,6 @@
     IndexServerState s_;
 };
 
-// ---- Pulse
-
 constexpr std::size_t kFewServers = 4;  // up to a quarter of them is a few
 
 class Pulse {
@@ -291,9 +276,9 @@
         s_.borne = 0;
         s_.bearing.clear();
         for (const auto& id : post_.known) post_.servers[id].push_back(s_.pace);
-        // A node that sees few ends needs more than one window to tell: the counts go on. Alpha falls meanwhile;
-        // but where the multigets that it decides on come so far apart that one's outcomes are long known
-        // before the next, only after a window that used it: else it is gone each time.
+        // Where few sends end the counts go on over several windows, and alpha falls meanwhile; but where the
+        // multigets that it decides on come far apart, only after a window that used it: else it is gone
+        // each time.
         const bool enough = s_.ended >= kLeastEnded;
         const bool used = post_.now - s_.weighed <= kWindow;
         if (!enough && !used && s_.gap > rare_) return;
@@ -311,9 +296,7 @@
         const double share = static_cast<double>(s_.ready) / s_.pace.quick / front_nodes_;
         post_.desk.push_back(Alpha{s_.alpha, share});
         if (!enough) return;
-        s_.ended = s_.pressing = 0;
-        s_.pressed_servers.clear();
-        s_.ended_servers.clear();
+        s_.count_anew();
     }
 
 private:
@@ -330,35 +313,12 @@
     PulseState s_;
 };
 
-// ---- Desk
-
-// Keeps further sends within the stated few plus the stated share of what was taken in the same time.
-class FurtherBudget {
-public:
-    FurtherBudget(FurtherSendTerms terms, Time turn) : terms_(terms), slack_(turn) {}
-
-    void note(Time now, int taken, int sent) {
-        if (terms_.look_back > 0) log_.note({now, taken, sent}, now - terms_.look_back - slack_);
-    }
-
-    bool allows(Time now) const {  // a turn too early or too late counts against it
-        if (terms_.look_back == 0) return true;
-        const double earned = terms_.ratio * log_.taken_after(now - terms_.look_back + slack_);
-        return terms_.floor + earned - log_.sent_from(now - terms_.look_back - slack_) >= 1;
-    }
-
-private:
-    const FurtherSendTerms terms_;
-    const Time slack_;
-    SendLog log_;
-};
-
 class Desk {
 public:
     Desk(Post& post, std::vector<OpType> op_types, ShardRing ring, SendTerms sends, FurtherSendTerms further,
          ClientTerms clients, Time turn)
         : post_(post), op_types_(std::move(op_types)), ring_(ring), sends_(sends), clients_(clients),
-          turn_(turn), budget_(further, turn) {
+          turn_(turn), further_(further) {
         s_.tries.resize(op_types_.size());
     }
 
@@ -373,7 +333,7 @@
     }
 
     void take(const MultigetArrival& told) {
-        budget_.note(post_.now, 1 + static_cast<int>(told.parts.size()), 0);
+        log_sends(1 + static_cast<int>(told.parts.size()), 0);
         auto& mg = s_.multigets[told.id];
         mg.told = told;
         mg.told.parts.clear();
@@ -392,7 +352,7 @@
     void take(const SecondStep& step) {
         for (auto& [id, mg] : s_.multigets) {
             if (!mg.awaiting_step || mg.told.number != step.number) continue;
-            budget_.note(post_.now, static_cast<int>(step.parts.size()), 0);
+            log_sends(static_cast<int>(step.parts.size()), 0);
             mg.awaiting_step = false;
             s_.add_parts(mg, step.parts);
             for (const auto& part : mg.parts) post_.desk.push_back(PlacePart{part.told.id});
@@ -405,7 +365,7 @@
         if (part == nullptr || part->stage != Stage::kWaiting) return;
         const auto& type = type_of(mg->told);
         if (!may_send(*part, type)) part->stage = Stage::kLost;
-        if (part->stage == Stage::kLost) return review(*mg);
+        if (!part->open()) return review(*mg);
         const bool nearly_in = !part->sends.empty() && mg->tally().in > kNearly;
         const auto* card = pick(*part, type, mg->budget_ends - post_.now, nearly_in);
         if (card != nullptr) send(*mg, *part, type, *card);
@@ -468,17 +428,28 @@
     }
 
 private:
-    static constexpr double kEarned = 1.5;  // parts, by an answer within half its latency budget
+    static constexpr double kEarned = 1.5;        // parts, by an answer within half its latency budget
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
     static constexpr double kNearly = 0.5;        // of the weight, in
     static constexpr double kHopeful = 0.4;       // of the time left that an expected wait may take
 
+    void log_sends(int taken, int sent) {
+        log_.note({post_.now, taken, sent}, post_.now - further_.look_back - turn_);
+    }
+
+    // Keeps further sends within the stated few plus the stated share of what was taken in the same time; a
+    // turn too early or too late counts against it.
+    bool budget_allows() const {
+        if (further_.look_back == 0) return true;
+        const double earned = further_.ratio * log_.taken_after(post_.now - further_.look_back + turn_);
+        return further_.floor + earned - log_.sent_from(post_.now - further_.look_back - turn_) >= 1;
+    }
+
     // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when
-    // that client began. Where repeats are not marked, no more are guessed than follow from what was given up
-    // lately: else clients that grow impatient by themselves would be taken for repeats and pushed back, for
-    // ever.
+    // that client began. Where repeats are not marked, no more are guessed than follow from what was given
+    // up: else clients that grow impatient would be taken for repeats and pushed back, for ever.
     Time client_start(MultigetState& mg, const OpType& type) {
-        constexpr double kStillDue = 3.0 / 4;  // after one that is none; by time, a node that sees few would forget
+        constexpr double kStillDue = 3.0 / 4;  // after one that is none: by time, rare ones were forgotten
         auto& tries = s_.tries.at(static_cast<std::size_t>(mg.told.op_type));
         const Time span = mg.told.not_after - post_.now;
         const bool usual = std::max(span - tries.usual, tries.usual - span) <= type.latency_budget / 20;
@@ -494,17 +465,18 @@
         return op_types_.at(static_cast<std::size_t>(told.op_type));
     }
 
-    // A multiget of many parts ends with its slowest replica. Without pressure, what is left of one when seven
-    // eighths are in gets a copy elsewhere after a third of the budget, whatever keeps that one server.
+    // A multiget of many parts ends with its slowest replica. Without pressure, what is left of one when
+    // seven eighths are in gets a copy elsewhere after a third of the budget, whatever keeps that server.
     void want_stragglers(MultigetState& mg) {
         const auto& type = type_of(mg.told);
         if (!sends_.second_copies || s_.alpha > 0 || type.least_share < type.whole_share) return;
         const auto tally = mg.tally();
-        if (tally.parts_in == 0 || tally.parts_open > std::max(1, (tally.parts_in + tally.parts_open) / 8)) return;
-        const Time third = type.latency_budget / 3;
+        const int most = std::max(1, (tally.parts_in + tally.parts_open) / 8);
+        if (tally.parts_in == 0 || tally.parts_open > most) return;
         for (auto& part : mg.parts) {
-            if (part.stage != Stage::kOut || post_.now - part.sends.back().sent < third) continue;
-            part.further_wanted = part.further_wanted || part.count_out() == 1;
+            const bool out_once = part.stage == Stage::kOut && part.count_out() == 1;
+            if (!out_once || post_.now - part.sends.back().sent < type.latency_budget / 3) continue;
+            part.further_wanted = true;
         }
     }
 
@@ -529,8 +501,8 @@
         // What cannot be answered in time is pushed back before any part is sent: parts that end too late to
         // serve an answer still take their servers' time, and under load that makes the next ones late too.
         if (hopeful + kRounding < type.least_share) return give_up(mg);
-        // A multiget is taken only as far as timely answers have earned it: a node that sees little of a fleet
-        // learns of its queues too late, and all nodes together would keep them full for ever.
+        // A multiget is taken only as far as timely answers have earned it: a node that sees little of a
+        // fleet learns of its queues too late, and all nodes together would keep them full for ever.
         auto afford = static_cast<std::size_t>(s_.credit);
         for (const auto& [hopeless, minus, i] : order) {
             auto& part = mg.parts[i];
@@ -590,7 +562,8 @@
     // was before, and within the budget.
     const Card* pick(const PartState& part, const OpType& type, Time left, bool nearly_in = false) {
         const bool is_further = !part.sends.empty();
-        if (is_further && !budget_.allows(post_.now)) return nullptr;
+        if (is_further && !budget_allows()) return nullptr;
+        const auto bearable = static_cast<Time>(kHopeful * static_cast<double>(left));
         std::vector<const Card*> best;
         std::array<int, 3> lowest{};
         for (const auto* holder : s_.holders(ring_, part.told.shard)) {
@@ -599,7 +572,7 @@
             const bool unfit = is_further && (card.credit < 1 || is_away(card) || part.was_at(card.server));
             if (unfit && (part.stage != Stage::kWaiting || !nearly_in)) continue;
             const bool may_repeat = type.repeat == Repeat::kRetriable;
-            const bool too_slow = expected_wait(card) > static_cast<Time>(kHopeful * static_cast<double>(left));
+            const bool too_slow = expected_wait(card) > bearable;
             const bool doubted = card.standing != Standing::kGood && !may_repeat;
             const int last = (unfit ? 3 : 0) + (is_away(card) ? 2 : (doubted || too_slow ? 1 : 0));
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
@@ -609,15 +582,14 @@
             }
             if (rank == lowest) best.push_back(holder);
         }
-        if (best.empty()) return nullptr;
-        return best[post_.chance() % best.size()];
+        return best.empty() ? nullptr : best[post_.chance() % best.size()];
     }
 
     void send(MultigetState& mg, PartState& part, const OpType& type, const Card& card) {
         const bool is_further = !part.sends.empty();
         const Time useful = type.late_importance > 0 ? mg.answer_by : mg.budget_ends;
         s_.credit = std::max(0.0, s_.credit - 1);
-        if (is_further) budget_.note(post_.now, 0, 1);
+        if (is_further) log_sends(0, 1);
         part.stage = Stage::kOut;
         part.further_wanted = false;
         part.sends.push_back({card.server, post_.now, false, true});
@@ -648,12 +620,11 @@
 
         const auto& type = type_of(mg.told);
         const auto [in, pending, all_in, parts_in, parts_open] = mg.tally();
-        const bool any_open = parts_open > 0;
         const double need = mg.step == 1 ? type.whole_share : 1;
         const bool whole = (all_in || (need < 1 && in + kRounding >= need)) && mg.step_one_whole;
         const bool floor_in = all_in || in + kRounding >= type.least_share;
-        if (whole || (floor_in && !any_open)) return answer(mg, type, whole);
-        if (!any_open || in + pending + kRounding < type.least_share) return give_up(mg);
+        if (whole || (floor_in && parts_open == 0)) return answer(mg, type, whole);
+        if (parts_open == 0 || in + pending + kRounding < type.least_share) return give_up(mg);
         if (post_.now >= mg.answer_by) return floor_in ? answer(mg, type, false) : give_up(mg);
         if (post_.now < mg.budget_ends) return;
         // In time with what is in beats whole but late; what is worth nothing late is given up at once.
@@ -678,19 +649,14 @@
         const auto& type = type_of(mg.told);
         const bool harmless = type.repeat == Repeat::kRetriable || mg.all_proven_not_run();
         if (!mg.repeat) s_.tries.at(static_cast<std::size_t>(mg.told.op_type)).repeats_due += 2;
-        if (harmless && mg.step == 1) {
-            post_.actions.emplace_back(
-                PushBack{mg.told.id, clients_.retry_after ? clients_.longest_retry_after : 0});
-        } else {
-            post_.actions.emplace_back(Fail{mg.told.id});
-        }
+        const Time wait = clients_.retry_after ? clients_.longest_retry_after : 0;
+        if (harmless && mg.step == 1) post_.actions.emplace_back(PushBack{mg.told.id, wait});
+        else post_.actions.emplace_back(Fail{mg.told.id});
         forget(mg);
     }
 
     void drop_parts(MultigetState& mg) {
-        for (auto& part : mg.parts) {
-            if (part.any_out()) call_off_rest(part);
-        }
+        for (auto& part : mg.parts) call_off_rest(part);
         s_.drop_parts(mg);
     }
 
@@ -705,7 +671,8 @@
     const SendTerms sends_;
     const ClientTerms clients_;
     const Time turn_;
-    FurtherBudget budget_;
+    const FurtherSendTerms further_;
+    SendLog log_;
     InstanceState s_;
 };
 
@@ -722,11 +689,6 @@
         post.chance.seed(static_cast<std::uint32_t>(seed ^ (seed >> 32U)));
     }
 
-    IndexServer& server(ServerId id) {
-        return servers.try_emplace(id, post, id, cold, place.front_nodes, ring.parts_per_call, shortest)
-            .first->second;
-    }
-
     // Index servers and their cards go before each of the desk's notes: it must not decide by a card that an
     // order of the same turn has made untrue, or a whole multiget goes to one cold server's last free place.
     void empty_inboxes() {
@@ -734,7 +696,8 @@
             busy = empty_one(follower, post.follower);
             for (; !post.servers.empty(); post.servers.erase(post.servers.begin())) {
                 auto& [id, inbox] = *post.servers.begin();
-                while (empty_one(server(id), inbox)) busy = true;
+                auto& server = servers.try_emplace(id, post, id, cold, place, ring, shortest).first->second;
+                while (empty_one(server, inbox)) busy = true;
             }
             while (empty_one(pulse, post.pulse)) busy = true;
             while (empty_one(desk, post.cards)) busy = true;
@@ -744,11 +707,10 @@
 
     void deliver(const ListNews& news) { post.follower.push_back(news); }
     void deliver(const SendEnded& ended) { post.servers[ended.server].push_back(ended); }
-    void deliver(const MultigetArrival& told) { post.desk.push_back(told); }
-    void deliver(const SecondStep& step) { post.desk.push_back(step); }
-    void deliver(const ClientLeft& left) { post.desk.push_back(left); }
     template <class Other>
-    void deliver(const Other&) {}  // bells only make a turn; probes and peers are not asked
+    void deliver(const Other& what) {  // bells only make a turn; probes and peers are not asked
+        if constexpr (std::is_constructible_v<DeskNote, Other>) post.desk.push_back(what);
+    }
 
     void ring_again() {
         const Time next = post.now + place.turn * (desk.idle() ? 20 : 2);
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -93,6 +93,10 @@
     std::mt19937 chance;
     Time now = 0;
 
+    void wake(ServerId id, bool due) {
+        if (due) awake.insert(id);
+        if (!due) awake.erase(id);
+    }
     void tick_all() {
         follower.push_back(Tick{});
         for (const auto& id : awake) servers[id].push_back(Tick{});
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -228,6 +228,12 @@
     Time weighed = 0;  // when alpha last decided on a multiget
     Time gap = 0;      // from one such to the next, of late
     Pace pace;
+
+    void count_anew() {
+        ended = pressing = 0;
+        ended_servers.clear();
+        pressed_servers.clear();
+    }
 };
 
 struct TriesSeen {
