Cold allowance by what a server answers on average; first parts spread at random

What a warm server is seen to bear was counted over servers and seconds that answered at all; a node that sees each server once in some seconds took that for its rate, and the sum over nodes came to many times a server's capacity. Now it is the mean over all ready servers and seconds, so that the sum over nodes is what a server really answers. And each node's first part is due after a random share of the time: told at once, 85 nodes sent it at once.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -84,7 +84,7 @@
 
     void take(const ListEntry& entry) {
         s_.entry = entry;
-        if (entry.started > s_.started) s_.restarted(entry.started, post_.now);
+        if (entry.started > s_.started) restarted(entry.started);
         publish();
     }
 
@@ -129,7 +129,7 @@
                 s_.errors -= s_.errors * kErrorStep;
                 s_.fulls = 0;
                 s_.credit = std::min(kMostCredit, s_.credit + kEarned);
-                post_.pulse.push_back(Took{id_, ended.took, !is_cold()});
+                post_.pulse.push_back(Took{ended.took, !is_cold()});
                 see_wait(ended.took, false);
                 // An answer ends the doubt that silence raised; only time ends the one that errors raised.
                 if (s_.standing != Standing::kFailing) s_.standing = Standing::kGood;
@@ -148,7 +148,7 @@
             case Outcome::kReset:
                 // A process that was down comes back cold, whether or not the list says so in time.
                 s_.credit = 0;
-                s_.restarted(post_.now, post_.now);
+                restarted(post_.now);
                 set_aside(Standing::kAside, "no connection");
                 break;
             case Outcome::kTimedOut:
@@ -190,6 +190,9 @@
         s_.aside_until = post_.now + aside_for_ + post_.random_part(aside_for_ / 2);
     }
 
+    // The first part's time is spread at random: else all front nodes, told at once, send it at once.
+    void restarted(Time at) { s_.restarted(at, post_.now, post_.random_share()); }
+
     bool is_cold() const { return s_.started > 0 && post_.now < s_.started + cold_.warm_after; }
 
     // Guards a cold server: it may be sent, in parts, nine tenths of the stated multiple, at its least
@@ -212,7 +215,7 @@
         post_.wake(id_, !s_.out.empty() || s_.is_away() || is_cold());
         Card card = s_.card(id_);
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
-        // On trial it gets one part at a time, and one that is called off has told nothing. So too while aside,
+        // On trial it gets one part at a time; one that is called off has told nothing. So too while aside,
         // where no other replica is left: it tells early that a stall of many is over.
         const bool doubted = s_.standing == Standing::kTrial || s_.standing == Standing::kAside;
         if (doubted) card.room = std::min(card.room, s_.out.empty() ? 1 : 0);
@@ -253,9 +256,7 @@
         s_.pace.quick += s_.pace.quick / 32 * (t > s_.pace.quick ? 1.0 / 3 : -1);
         s_.pace.quick = std::max(s_.pace.quick, 10.0);
         s_.pace.mean += (t - s_.pace.mean) / 32;
-        if (!took.warm) return;
-        ++s_.borne;
-        s_.bearing.insert(took.server);
+        s_.borne += took.warm ? 1 : 0;
     }
 
     void take(const Weighed& w) {
@@ -269,12 +270,10 @@
         if (s_.weighed == 0) s_.weighed = post_.now;
         if (post_.now < s_.window_ends) return;
         s_.window_ends = post_.now + kWindow;
-        if (!s_.bearing.empty()) {
-            const double borne = s_.borne / static_cast<double>(s_.bearing.size()) / kWindow;
-            s_.pace.borne += (borne - s_.pace.borne) / 8;
-        }
-        s_.borne = 0;
-        s_.bearing.clear();
+        // Over all servers and windows: by those alone that answered, a node that sees little would take its
+        // few answers of each for what it bears, and all nodes together would push cold servers over.
+        const double ready = std::max(1.0, static_cast<double>(s_.ready));
+        s_.pace.borne += (std::exchange(s_.borne, 0) / ready / kWindow - s_.pace.borne) / 8;
         for (const auto& id : post_.known) post_.servers[id].push_back(s_.pace);
         // Where few sends end the counts go on over several windows, and alpha falls meanwhile; but where the
         // multigets that it decides on come far apart, only after a window that used it: else it is gone
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -25,7 +25,7 @@
 struct Pace {          // how long answers take lately, over all index servers
     double quick = 0;  // one that hardly waited
     double mean = 0;
-    double borne = 0;  // answers in a tenth of a millisecond that this node has of one warm server
+    double borne = 0;  // answers in a tenth of a millisecond that this node has of a warm server
 };
 enum class Standing { kGood, kAside, kFailing, kTrial };  // failing: aside for its errors
 struct Card {                                             // what an index server lets the desk know of itself
@@ -56,7 +56,6 @@
     bool pressing = false;
 };
 struct Took {  // an answer came
-    ServerId server;
     Time took = 0;
     bool warm = false;
 };
@@ -103,6 +102,7 @@
         pulse.push_back(Tick{});
         desk.push_back(Tick{});
     }
+    double random_share() { return static_cast<double>(chance()) / 4294967296.0; }
     Time random_part(Time most) { return static_cast<Time>(chance() % static_cast<std::uint32_t>(most + 1)); }
 };
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -202,9 +202,9 @@
         if (--calls_out[it->second.call] == 0) calls_out.erase(it->second.call);
         out.erase(it);
     }
-    void restarted(Time at, Time seen) {
+    void restarted(Time at, Time seen, double room) {
         started = at;
-        cold_room = 0;
+        cold_room = room;
         room_filled = seen;
     }
     Time oldest_sent(Time now) const {
@@ -220,7 +220,6 @@
     std::set<ServerId> ended_servers;  // where a send ended or became overdue
     std::set<ServerId> pressed_servers;
     int borne = 0;  // answers of warm servers
-    std::set<ServerId> bearing;
     Time window_ends = 0;
     std::size_t ready = 0;  // servers listed
     double mean_weight = 0;
