--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -275,12 +275,11 @@
         const double ready = std::max(1.0, static_cast<double>(s_.ready));
         s_.pace.borne += (std::exchange(s_.borne, 0) / ready / kWindow - s_.pace.borne) / 8;
         for (const auto& id : post_.known) post_.servers[id].push_back(s_.pace);
-        // Where few sends end the counts go on over several windows, and alpha falls meanwhile; but where the
-        // multigets that it decides on come far apart, only after a window that used it: else it is gone
-        // each time.
+        // Where few sends end the counts go on. Alpha falls meanwhile; but where the multigets it decides on
+        // come far apart, after a drowned fleet, only once it was used: else it is gone before each next one.
         const bool enough = s_.ended >= kLeastEnded;
-        const bool used = post_.now - s_.weighed <= kWindow;
-        if (!enough && !used && s_.gap > rare_) return;
+        const bool unused = s_.gap > rare_ && post_.now - s_.weighed > kWindow;
+        if (!enough && unused && s_.drowned) return;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
         const std::size_t few = std::max(std::min(s_.ready / kFewServers, kFewServers),
@@ -295,6 +294,7 @@
         const double share = static_cast<double>(s_.ready) / s_.pace.quick / front_nodes_;
         post_.desk.push_back(Alpha{s_.alpha, share});
         if (!enough) return;
+        s_.drowned = s_.pressing * 4 > s_.ended;
         s_.count_anew();
     }
 
@@ -597,9 +597,7 @@
                                                    type.latency_budget / 2, is_further});
     }
 
-    void earn(double credit) {
-        s_.credit = std::min(s_.alpha > 0 ? s_.depth / 3 : s_.depth, s_.credit + credit);
-    }
+    void earn(double by) { s_.credit = std::min(s_.alpha > 0 ? s_.depth / 3 : s_.depth, s_.credit + by); }
     // As deep as three of the longest multigets, or this node's even share of a latency budget's work.
     void deepen(double depth) {
         if (depth > s_.depth) s_.credit += depth - std::exchange(s_.depth, depth);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -226,6 +226,7 @@
     double alpha = 0;
     Time weighed = 0;  // when alpha last decided on a multiget
     Time gap = 0;      // from one such to the next, of late
+    bool drowned = false;  // over a quarter pressed when last counted
     Pace pace;
 
     void count_anew() {
