--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -60,8 +60,9 @@
 
 class IndexServer {
 public:
-    IndexServer(Post& post, ServerId id, ColdTerms cold, NodePlace at, ShardRing ring, Time shortest_budget)
-        : post_(post), id_(id), cold_(cold), front_nodes_(at.front_nodes),
+    IndexServer(Post& post, ServerId id, ColdTerms cold, NodePlace at, ShardRing ring, Time connect_timeout,
+                Time shortest_budget)
+        : post_(post), id_(id), cold_(cold), connect_timeout_(connect_timeout), front_nodes_(at.front_nodes),
           parts_per_call_(ring.parts_per_call), silence_(shortest_budget / 2), aside_for_(shortest_budget) {
         s_.slow = silence_;
         s_.pace.quick = static_cast<double>(shortest_budget) / 8;
@@ -146,9 +147,10 @@
                 break;
             case Outcome::kNoConnection:
             case Outcome::kReset:
-                // A process that was down comes back cold, whether or not the list says so in time.
+                // A process that was down comes back cold, whatever the list says. It refuses at once; one
+                // that lets the time run out is behind a cut or slow way, and may be warm all the while.
                 s_.credit = 0;
-                restarted(post_.now);
+                if (ended.outcome == Outcome::kReset || ended.took < connect_timeout_) restarted(post_.now);
                 set_aside(Standing::kAside, "no connection");
                 break;
             case Outcome::kTimedOut:
@@ -195,10 +197,9 @@
 
     bool is_cold() const { return s_.started > 0 && post_.now < s_.started + cold_.warm_after; }
 
-    // Guards a cold server: it may be sent, in parts, nine tenths of the stated multiple, at its least
-    // warmth by now, of what warm servers are seen to bear of this node's parts, or of this node's even share
-    // of what one core bears. Room gathers with time, up to half a span's, so no burst spends the allowance
-    // at once.
+    // Guards a cold server: it may be sent nine tenths of the stated multiple, at its least warmth by now, of
+    // what servers are seen to bear of this node's parts, or of its even share of what one core bears. Room
+    // gathers with time, up to half a span's, so no burst spends the allowance at once.
     void fill_cold_room() {
         if (!is_cold()) return;
         constexpr double kSafety = 0.9;
@@ -227,6 +228,7 @@
     Post& post_;
     const ServerId id_;
     const ColdTerms cold_;
+    const Time connect_timeout_;
     const int front_nodes_;
     const int parts_per_call_;
     const Time silence_;
@@ -365,8 +367,8 @@
         const auto& type = type_of(mg->told);
         if (!may_send(*part, type)) part->stage = Stage::kLost;
         if (!part->open()) return review(*mg);
-        const bool nearly_in = !part->sends.empty() && mg->tally().in > kNearly;
-        const auto* card = pick(*part, type, mg->budget_ends - post_.now, nearly_in);
+        const bool half_in = !part->sends.empty() && mg->tally().in > 0.5;
+        const auto* card = pick(*part, type, mg->budget_ends - post_.now, half_in);
         if (card != nullptr) send(*mg, *part, type, *card);
     }
 
@@ -375,7 +377,8 @@
         if (part == nullptr || static_cast<std::size_t>(over.send) >= part->sends.size()) return;
         auto& sent = part->sends[static_cast<std::size_t>(over.send)];
         sent.over = true;
-        sent.may_have_run = !proven_not_run(over.outcome);
+        sent.may_have_run = over.outcome != Outcome::kFull && over.outcome != Outcome::kNoConnection &&
+                            over.outcome != Outcome::kNeverSent;
         if (!part->open()) return;
         if (over.outcome == Outcome::kReturned) {
             earn(post_.now - sent.sent <= type_of(mg->told).latency_budget / 2 ? kEarned : 1 / kEarned);
@@ -390,8 +393,7 @@
     }
 
     // An overdue part gets a second copy where those are allowed; else its send is called off, and another
-    // follows once that is confirmed. Without a replica that has credit it is left to run, and asked about
-    // again.
+    // follows once that is confirmed. Without a fit replica it is left to run, and asked about again.
     void take(const Overdue& note) {
         auto [mg, part] = s_.find(note.part);
         if (part == nullptr || part->stage != Stage::kOut) return;
@@ -429,7 +431,6 @@
 private:
     static constexpr double kEarned = 1.5;        // parts, by an answer within half its latency budget
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
-    static constexpr double kNearly = 0.5;        // of the weight, in
     static constexpr double kHopeful = 0.4;       // of the time left that an expected wait may take
 
     void log_sends(int taken, int sent) {
@@ -444,9 +445,9 @@
         return further_.floor + earned - log_.sent_from(post_.now - further_.look_back - turn_) >= 1;
     }
 
-    // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when
-    // that client began. Where repeats are not marked, no more are guessed than follow from what was given
-    // up: else clients that grow impatient would be taken for repeats and pushed back, for ever.
+    // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when it
+    // began. Where repeats are not marked, no more are guessed than follow from what was given up: else
+    // clients that grow impatient would be taken for repeats and pushed back, for ever.
     Time client_start(MultigetState& mg, const OpType& type) {
         constexpr double kStillDue = 3.0 / 4;  // after one that is none: by time, rare ones were forgotten
         auto& tries = s_.tries.at(static_cast<std::size_t>(mg.told.op_type));
@@ -534,14 +535,13 @@
         // Where every replica is aside they count after all: what made so many silent may be over by now, and
         // pushing back everything until the first returns would make a short stall a long one.
         constexpr Time kNone = std::numeric_limits<Time>::max();
-        Time shortest = kNone;
-        Time aside = kNone;
+        std::array<Time, 2> shortest{kNone, kNone};  // of those in use, and aside
         for (const auto* card : s_.holders(ring_, part.told.shard)) {
             if (!card->listed_ready || card->room < 1) continue;
-            auto& which = is_away(*card) ? aside : shortest;
+            auto& which = shortest[is_away(*card) ? 1 : 0];
             which = std::min(which, expected_wait(*card));
         }
-        return shortest == kNone ? aside : shortest;
+        return shortest[0] == kNone ? shortest[1] : shortest[0];
     }
 
     bool may_send(const PartState& part, const OpType& type) {
@@ -556,10 +556,9 @@
     }
 
     // The picker: of the replicas that hold the shard the one with the fewest of this node's calls out, ties
-    // at random. Replicas that are set aside, on trial, or too slow for the time left come last, and never
-    // first for what cannot be sent again; a further send goes only where there is credit, not where the part
-    // was before, and within the budget.
-    const Card* pick(const PartState& part, const OpType& type, Time left, bool nearly_in = false) {
+    // at random. Those aside, on trial, or too slow for the time left come last, and never first for what
+    // cannot be sent again; a further send goes within the budget to where credit is and the part was not.
+    const Card* pick(const PartState& part, const OpType& type, Time left, bool half_in = false) {
         const bool is_further = !part.sends.empty();
         if (is_further && !budget_allows()) return nullptr;
         const auto bearable = static_cast<Time>(kHopeful * static_cast<double>(left));
@@ -569,10 +568,9 @@
             const auto& card = *holder;
             if (!card.listed_ready || card.room < 1) continue;
             const bool unfit = is_further && (card.credit < 1 || is_away(card) || part.was_at(card.server));
-            if (unfit && (part.stage != Stage::kWaiting || !nearly_in)) continue;
-            const bool may_repeat = type.repeat == Repeat::kRetriable;
+            if (unfit && (part.stage != Stage::kWaiting || !half_in)) continue;
             const bool too_slow = expected_wait(card) > bearable;
-            const bool doubted = card.standing != Standing::kGood && !may_repeat;
+            const bool doubted = card.standing != Standing::kGood && type.repeat != Repeat::kRetriable;
             const int last = (unfit ? 3 : 0) + (is_away(card) ? 2 : (doubted || too_slow ? 1 : 0));
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
             if (best.empty() || rank < lowest) {
@@ -610,7 +608,6 @@
         }
     }
 
-    // Decides whether the multiget ends now. (Not asked at arrival.)
     void review(MultigetState& mg) {
         if (mg.awaiting_step && post_.now < mg.answer_by) return;
         if (mg.awaiting_step) return give_up(mg);
@@ -680,7 +677,8 @@
 struct FrontNode::Parts {
     Parts(std::uint64_t seed, NodePlace at, std::vector<OpType> op_types, ShardRing shards, SendTerms sends,
           FurtherSendTerms further, ColdTerms cold_terms, ListTerms list, ClientTerms clients)
-        : place(at), ring(shards), cold(cold_terms), shortest(shortest_budget(op_types)),
+        : place(at), ring(shards), cold(cold_terms), connect(sends.connect_timeout),
+          shortest(shortest_budget(op_types)),
           follower(post, list), pulse(post, shortest, at.front_nodes),
           desk(post, std::move(op_types), shards, sends, further, clients, at.turn) {
         post.chance.seed(static_cast<std::uint32_t>(seed ^ (seed >> 32U)));
@@ -693,8 +691,8 @@
             busy = empty_one(follower, post.follower);
             for (; !post.servers.empty(); post.servers.erase(post.servers.begin())) {
                 auto& [id, inbox] = *post.servers.begin();
-                auto& server = servers.try_emplace(id, post, id, cold, place, ring, shortest).first->second;
-                while (empty_one(server, inbox)) busy = true;
+                const auto it = servers.try_emplace(id, post, id, cold, place, ring, connect, shortest).first;
+                while (empty_one(it->second, inbox)) busy = true;
             }
             while (empty_one(pulse, post.pulse)) busy = true;
             while (empty_one(desk, post.cards)) busy = true;
@@ -719,6 +717,7 @@
     NodePlace place;
     ShardRing ring;
     ColdTerms cold;
+    Time connect;
     Time shortest;
     Post post;
     ListFollower follower;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -23,10 +23,6 @@
     bool may_have_run = true;
 };
 
-inline bool proven_not_run(Outcome outcome) {
-    return outcome == Outcome::kFull || outcome == Outcome::kNoConnection || outcome == Outcome::kNeverSent;
-}
-
 struct PartState {
     enum class Stage { kWaiting, kOut, kIn, kLost, kLeftOut };
     PartArrival told;
