--- /dev/null
+++ b/src/net/buffer.hpp
@@ -0,0 +1,44 @@
+// One connection's bytes that have come and are not used yet: grows as needed, compacted in place.
+#pragma once
+
+#include <cstddef>
+#include <cstring>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace pinedoor::net {
+
+class Buffer {
+public:
+    std::string_view held() const { return {bytes_.data() + begin_, end_ - begin_}; }
+    bool empty() const { return begin_ == end_; }
+
+    void drop(std::size_t count) {
+        begin_ += count;
+        if (begin_ != end_) return;
+        begin_ = end_ = 0;
+        if (bytes_.size() > kSmall) std::vector<char>().swap(bytes_);  // an idle connection holds little
+    }
+
+    std::span<char> room() {
+        if (begin_ > 0) {
+            std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
+            end_ -= begin_;
+            begin_ = 0;
+        }
+        if (bytes_.size() - end_ < kLeastRoom) bytes_.resize(bytes_.empty() ? kSmall : bytes_.size() * 2);
+        return {bytes_.data() + end_, bytes_.size() - end_};
+    }
+    void filled(std::size_t count) { end_ += count; }
+
+private:
+    static constexpr std::size_t kSmall = 4096;
+    static constexpr std::size_t kLeastRoom = 1024;
+
+    std::vector<char> bytes_;
+    std::size_t begin_ = 0;
+    std::size_t end_ = 0;
+};
+
+}  // namespace pinedoor::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,101 @@
+#include "net/socket.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <system_error>
+
+namespace pinedoor::net {
+namespace {
+
+sockaddr_in to_sockaddr(Endpoint endpoint) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    address.sin_addr.s_addr = htonl(endpoint.address);
+    return address;
+}
+
+void set_option(const Fd& fd, int level, int name) {
+    const int on = 1;
+    setsockopt(fd.get(), level, name, &on, sizeof on);
+}
+
+Fd open_socket() { return Fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)); }
+
+}  // namespace
+
+Fd::~Fd() {
+    if (fd_ >= 0) close(fd_);
+}
+
+std::optional<Endpoint> parse_endpoint(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) return std::nullopt;
+    const std::string host(text.substr(0, colon));
+    const auto port_text = text.substr(colon + 1);
+    in_addr address{};
+    Endpoint endpoint;
+    const auto [end, error] = std::from_chars(port_text.begin(), port_text.end(), endpoint.port);
+    if (error != std::errc{} || end != port_text.end() || endpoint.port == 0) return std::nullopt;
+    if (inet_pton(AF_INET, host.c_str(), &address) != 1) return std::nullopt;
+    endpoint.address = ntohl(address.s_addr);
+    return endpoint;
+}
+
+std::string to_text(Endpoint endpoint) {
+    std::string text;
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        text += std::to_string((endpoint.address >> shift) & 0xffU) + (shift > 0 ? "." : ":");
+    }
+    return text + std::to_string(endpoint.port);
+}
+
+Fd listen_on(Endpoint endpoint) {
+    Fd fd = open_socket();
+    const auto fail = [&] {
+        return std::system_error(errno, std::generic_category(), "listen on " + to_text(endpoint));
+    };
+    if (!fd) throw fail();
+    set_option(fd, SOL_SOCKET, SO_REUSEADDR);  // a start right after a kill must find the address free
+    const auto address = to_sockaddr(endpoint);
+    if (bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) throw fail();
+    if (listen(fd.get(), SOMAXCONN) != 0) throw fail();
+    return fd;
+}
+
+Fd connect_to(Endpoint endpoint) {
+    Fd fd = open_socket();
+    if (!fd) return fd;
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY);
+    const auto address = to_sockaddr(endpoint);
+    const int done = connect(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    if (done != 0 && errno != EINPROGRESS) return Fd{};
+    return fd;
+}
+
+int socket_error(const Fd& fd) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0) return errno;
+    return error;
+}
+
+std::pair<Fd, int> accept_from(const Fd& listener) {
+    for (;;) {
+        Fd fd(accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (!fd && (errno == EINTR || errno == ECONNABORTED)) continue;
+        const int error = fd ? 0 : errno;
+        if (fd) set_option(fd, IPPROTO_TCP, TCP_NODELAY);
+        return {std::move(fd), error};
+    }
+}
+
+void end_writing(const Fd& fd) { shutdown(fd.get(), SHUT_WR); }
+
+}  // namespace pinedoor::net
--- /dev/null
+++ b/src/parse/json.cpp
@@ -0,0 +1,249 @@
+#include "parse/json.hpp"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace pinedoor::parse {
+namespace {
+
+bool is_space(char c) { return c == ' ' || c == '\t' || c == '\n' || c == '\r'; }
+bool is_word(char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || c == 'E' || c == '+' || c == '-' || c == '.';
+}
+
+// JSON's own grammar of numbers, which from_chars is looser than.
+bool is_number(std::string_view t) {
+    std::size_t i = 0;
+    const auto digits = [&] {
+        const auto from = i;
+        while (i < t.size() && t[i] >= '0' && t[i] <= '9') ++i;
+        return i - from;
+    };
+    if (i < t.size() && t[i] == '-') ++i;
+    const auto first = i;
+    const auto whole = digits();
+    if (whole == 0 || (whole > 1 && t[first] == '0')) return false;
+    if (i < t.size() && t[i] == '.') {
+        ++i;
+        if (digits() == 0) return false;
+    }
+    if (i < t.size() && (t[i] == 'e' || t[i] == 'E')) {
+        ++i;
+        if (i < t.size() && (t[i] == '+' || t[i] == '-')) ++i;
+        if (digits() == 0) return false;
+    }
+    return i == t.size();
+}
+
+void append_utf8(std::string& out, std::uint32_t point) {
+    const auto put = [&](std::uint32_t byte) { out.push_back(static_cast<char>(byte)); };
+    if (point < 0x80) return put(point);
+    if (point < 0x800) {
+        put(0xc0U | (point >> 6U));
+    } else if (point < 0x10000) {
+        put(0xe0U | (point >> 12U));
+        put(0x80U | ((point >> 6U) & 0x3fU));
+    } else {
+        put(0xf0U | (point >> 18U));
+        put(0x80U | ((point >> 12U) & 0x3fU));
+        put(0x80U | ((point >> 6U) & 0x3fU));
+    }
+    put(0x80U | (point & 0x3fU));
+}
+
+}  // namespace
+
+const Json* Json::member(std::string_view name) const {
+    const auto* all = members();
+    if (all == nullptr) return nullptr;
+    const auto it = all->find(name);
+    return it == all->end() ? nullptr : &it->second;
+}
+
+void JsonReader::reject(const char* why) const {
+    throw BadJson("JSON, byte " + std::to_string(at_) + ": " + why);
+}
+
+void JsonReader::feed(std::string_view bytes) {
+    for (const char c : bytes) {
+        if (++at_ > bounds_.bytes) reject("too long");
+        take(c);
+    }
+}
+
+Json JsonReader::finish() {
+    if (inside_ == Inside::kWord) end_word();
+    if (inside_ != Inside::kNothing || expect_ != Expect::kNothing) reject("cut short");
+    return std::move(whole_);
+}
+
+void JsonReader::take(char c) {
+    if (inside_ == Inside::kWord) {
+        if (is_word(c)) return text_.push_back(c);
+        end_word();
+    } else if (inside_ != Inside::kNothing) {
+        if (take_in_string(c)) end_string();
+        return;
+    }
+    if (is_space(c)) return;
+    const bool value_due = expect_ == Expect::kValue || expect_ == Expect::kValueOrEnd;
+    switch (c) {
+        case '{':
+            if (!value_due) reject("an object is out of place");
+            return open(Json(Json::Members{}), Expect::kNameOrEnd);
+        case '[':
+            if (!value_due) reject("a list is out of place");
+            return open(Json(Json::List{}), Expect::kValueOrEnd);
+        case '}':
+        case ']': return close(c);
+        case '"':
+            if (!value_due && expect_ != Expect::kName && expect_ != Expect::kNameOrEnd) {
+                reject("a string is out of place");
+            }
+            inside_ = Inside::kString;
+            return text_.clear();
+        case ':':
+            if (expect_ != Expect::kColon) reject("a colon is out of place");
+            expect_ = Expect::kValue;
+            return;
+        case ',':
+            if (expect_ != Expect::kCommaOrEnd) reject("a comma is out of place");
+            expect_ = levels_.back().value.list() != nullptr ? Expect::kValue : Expect::kName;
+            return;
+        default:
+            if (!value_due || !is_word(c)) reject("a character is out of place");
+            inside_ = Inside::kWord;
+            text_.assign(1, c);
+    }
+}
+
+// True at the closing quote.
+bool JsonReader::take_in_string(char c) {
+    if (inside_ == Inside::kEscape) {
+        take_escaped(c);
+        return false;
+    }
+    if (inside_ == Inside::kHex) {
+        take_hex(c);
+        return false;
+    }
+    if (high_unit_ != 0 && c != '\\') reject("half a surrogate pair");
+    if (static_cast<unsigned char>(c) < 0x20) reject("a control character in a string");
+    if (c == '"') return true;
+    if (c == '\\') inside_ = Inside::kEscape;
+    else text_.push_back(c);
+    return false;
+}
+
+void JsonReader::take_escaped(char c) {
+    constexpr std::string_view kEscapes = "\"\\/bfnrt";
+    constexpr std::string_view kMeant = "\"\\/\b\f\n\r\t";
+    if (c == 'u') {
+        inside_ = Inside::kHex;
+        hex_digits_ = 0;
+        unit_ = 0;
+        return;
+    }
+    const auto which = kEscapes.find(c);
+    if (which == std::string_view::npos || high_unit_ != 0) reject("an unknown escape");
+    text_.push_back(kMeant[which]);
+    inside_ = Inside::kString;
+}
+
+void JsonReader::take_hex(char c) {
+    std::uint32_t digit = 0;
+    const auto [end, error] = std::from_chars(&c, &c + 1, digit, 16);
+    if (error != std::errc{} || end != &c + 1) reject("a malformed escape");
+    unit_ = unit_ * 16 + digit;
+    if (++hex_digits_ < 4) return;
+    inside_ = Inside::kString;
+    const bool high = unit_ >= 0xd800 && unit_ < 0xdc00;
+    const bool low = unit_ >= 0xdc00 && unit_ < 0xe000;
+    if (low != (high_unit_ != 0)) reject("half a surrogate pair");
+    if (high) {
+        high_unit_ = unit_;
+        return;
+    }
+    append_utf8(text_, low ? 0x10000 + ((high_unit_ - 0xd800) << 10U) + (unit_ - 0xdc00) : unit_);
+    high_unit_ = 0;
+}
+
+void JsonReader::end_string() {
+    inside_ = Inside::kNothing;
+    auto text = std::exchange(text_, {});
+    if (expect_ == Expect::kName || expect_ == Expect::kNameOrEnd) {
+        levels_.back().name = std::move(text);
+        expect_ = Expect::kColon;
+        return;
+    }
+    put(Json(std::move(text)));
+}
+
+void JsonReader::end_word() {
+    inside_ = Inside::kNothing;
+    auto text = std::exchange(text_, {});
+    if (text == "true") return put(Json(true));
+    if (text == "false") return put(Json(false));
+    if (text == "null") return put(Json());
+    if (!is_number(text)) reject("an unknown word");
+    double value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    if (!std::isfinite(value)) reject("a number out of range");
+    put(Json(Json::Number{value, std::move(text)}));
+}
+
+void JsonReader::open(Json value, Expect next) {
+    if (levels_.size() >= bounds_.depth) reject("nested too deep");
+    levels_.push_back({std::move(value), {}});
+    expect_ = next;
+}
+
+void JsonReader::close(char c) {
+    const bool end_due = expect_ == Expect::kCommaOrEnd ||
+                         expect_ == (c == ']' ? Expect::kValueOrEnd : Expect::kNameOrEnd);
+    if (levels_.empty() || !end_due || (c == ']') != (levels_.back().value.list() != nullptr)) {
+        reject("an end is out of place");
+    }
+    auto value = std::move(levels_.back().value);
+    levels_.pop_back();
+    put(std::move(value));
+}
+
+void JsonReader::put(Json value) {
+    expect_ = levels_.empty() ? Expect::kNothing : Expect::kCommaOrEnd;
+    if (levels_.empty()) {
+        whole_ = std::move(value);
+    } else if (auto* list = levels_.back().value.list()) {
+        list->push_back(std::move(value));
+    } else if (!levels_.back().value.members()->emplace(levels_.back().name, std::move(value)).second) {
+        reject("a name stands twice");
+    }
+}
+
+Json parse_json(std::string_view text, JsonBounds bounds) {
+    JsonReader reader(bounds);
+    reader.feed(text);
+    return reader.finish();
+}
+
+void append_json_string(std::string& out, std::string_view text) {
+    constexpr std::string_view kDigits = "0123456789abcdef";
+    out.push_back('"');
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\') {
+            out.push_back('\\');
+            out.push_back(c);
+        } else if (byte < 0x20) {
+            out += "\\u00";
+            out.push_back(kDigits[byte >> 4U]);
+            out.push_back(kDigits[byte & 0xfU]);
+        } else {
+            out.push_back(c);
+        }
+    }
+    out.push_back('"');
+}
+
+}  // namespace pinedoor::parse
--- /dev/null
+++ b/src/service/client_side.cpp
@@ -0,0 +1,329 @@
+#include "service/client_side.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cmath>
+#include <set>
+
+#include "parse/json.hpp"
+
+namespace pinedoor::service {
+namespace {
+
+constexpr Time kSecond = 10'000;
+// After SIGTERM new connections come for 0.4 s at the longest, and each time limit is 50 ms longer on sockets.
+constexpr Time kAcceptOn = 4'500;
+constexpr Time kRetryAccept = 500;
+constexpr double kMostRemainingMs = 86'400'000;
+constexpr std::size_t kLongestName = 64;
+constexpr std::size_t kMostParts = 4096;
+
+bool is_name(std::string_view text) {  // stands in a line of words, before a dot and a number
+    return !text.empty() && text.size() <= kLongestName && std::all_of(text.begin(), text.end(), [](char c) {
+        return c > ' ' && c < 127;
+    });
+}
+
+std::string decimal_seconds(Time time) {
+    const auto rest = std::to_string(kSecond + time % kSecond).substr(1);
+    return std::to_string(time / kSecond) + '.' + rest;
+}
+
+}  // namespace
+
+ClientSide::ClientSide(net::Scheduler& scheduler, Exchange& exchange, Counters& counters, Log& log,
+                       net::Endpoint listen, std::vector<std::string> op_types,
+                       std::vector<std::string> tenants, int shards, Time patience,
+                       std::size_t most_connections, std::function<std::string()> print_counters)
+    : scheduler_(scheduler), exchange_(exchange), counters_(counters), log_(log), at_(listen),
+      op_types_(std::move(op_types)), tenants_(std::move(tenants)), shards_(shards), patience_(patience),
+      most_connections_(most_connections), print_counters_(std::move(print_counters)) {}
+
+void ClientSide::start() {
+    listener_ = net::listen_on(at_);
+    waiter_.emplace(scheduler_, listener_.get());
+    accepting_ = true;
+    task_ = accept();
+    task_.start([this](std::exception_ptr failure) {
+        if (failure) scheduler_.defer([failure] { std::rethrow_exception(failure); });
+    });
+}
+
+void ClientSide::stop() {
+    if (stopping_) return;
+    stopping_ = true;
+    accept_until_ = scheduler_.now() + kAcceptOn;
+    waiter_->signal();
+}
+
+net::Task ClientSide::accept() {
+    while (scheduler_.now() < accept_until_) {
+        const bool out_of_descriptors = !take_all_queued();
+        // Never spins on a full table: it asks again after a while, or when a connection has gone.
+        const Time again = out_of_descriptors ? scheduler_.now() + kRetryAccept : net::kNever;
+        co_await waiter_->wait(out_of_descriptors ? 0U : unsigned{net::kRead}, std::min(accept_until_, again));
+    }
+    take_all_queued();
+    waiter_.reset();
+    listener_ = net::Fd{};
+    accepting_ = false;
+    for (auto& connection : connections_) {
+        connection->closing = true;
+        connection->stream.waiter().signal();
+    }
+}
+
+// False if there is no room for one more.
+bool ClientSide::take_all_queued() {
+    for (;;) {
+        if (connections_.size() >= most_connections_ && !make_room()) return false;
+        auto [fd, error] = net::accept_from(listener_);
+        if (!fd) {
+            if (error == EAGAIN) {
+                waiter_->used_up(net::kRead);
+                return true;
+            }
+            counters_.add(Count::kAcceptFailures);
+            log_.line("accept failed: error " + std::to_string(error));
+            make_room();
+            return false;
+        }
+        counters_.add(Count::kClientsAccepted);
+        auto& connection = *connections_.emplace_back(std::make_unique<Connection>(scheduler_, std::move(fd)));
+        most_at_once_ = std::max(most_at_once_, connections_.size());
+        connection.task = serve(connection);
+        connection.task.start([this, at = &connection](std::exception_ptr failure) {
+            if (failure) counters_.add(Count::kTasksThrew);
+            drop(*at);
+        });
+    }
+}
+
+// Asks the client connection that has been idle for longest to close; there is room once it has.
+bool ClientSide::make_room() {
+    Connection* longest = nullptr;
+    for (auto& connection : connections_) {
+        if (!connection->idle || connection->closing) continue;
+        if (longest == nullptr || connection->idle_since < longest->idle_since) longest = connection.get();
+    }
+    if (longest == nullptr) return false;
+    longest->closing = true;
+    longest->stream.waiter().signal();
+    return false;
+}
+
+void ClientSide::drop(Connection& connection) {
+    if (connection.multiget != 0) exchange_.leave(connection.multiget);
+    connection.multiget = 0;
+    scheduler_.defer([this, at = &connection] {
+        std::erase_if(connections_, [at](const auto& each) { return each.get() == at; });
+        if (waiter_) waiter_->signal();
+    });
+}
+
+net::Task ClientSide::serve(Connection& connection) {
+    auto& stream = connection.stream;
+    auto& waiter = stream.waiter();
+    for (bool open = true; open;) {
+        parse::HttpReader request(parse::HttpReader::Kind::kRequest);
+        using State = parse::HttpReader::State;
+        Time arrived = 0;
+        bool told_to_go_on = false;
+        connection.idle_since = scheduler_.now();
+        for (;;) {  // one request
+            auto& buffer = stream.buffer();
+            if (!buffer.empty() && arrived == 0) arrived = scheduler_.now();
+            connection.idle = arrived == 0;
+            buffer.drop(request.feed(buffer.held()));
+            if (request.state() == State::kDone || request.state() == State::kBad) break;
+            if (request.state() == State::kBody && request.expects_continue() && !told_to_go_on) {
+                told_to_go_on = true;
+                stream.write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            if (waiter.may(net::kRead)) {
+                const auto got = stream.read();
+                if (got == net::Stream::Got::kBytes) continue;
+                if (got != net::Stream::Got::kNothing) co_return;
+            }
+            // Only now that nothing more is there to read: a request that crosses the close is served.
+            if (connection.idle && connection.closing) co_return;
+            const Time late = connection.idle ? net::kNever : arrived + patience_;
+            if (scheduler_.now() >= late) break;
+            co_await waiter.wait(net::kRead, late);
+        }
+        auto reply = handle(connection, request, arrived);
+        while (!reply && !connection.ending) {
+            co_await waiter.wait(net::kClosed);
+            if (!waiter.may(net::kClosed) || connection.ending) continue;
+            co_return;  // the client has gone away
+        }
+        if (!reply) reply = reply_to(*connection.ending);
+        connection.ending.reset();
+        connection.multiget = 0;
+
+        open = request.state() == State::kDone && request.keeps_open() && !stopping_;
+        const auto text = parse::http_answer(reply->status, reply->headers, reply->body, !open);
+        const Time give_up_at = scheduler_.now() + patience_;
+        for (std::size_t written = 0; written < text.size();) {
+            written += stream.write(std::string_view(text).substr(written));
+            if (stream.broken() || scheduler_.now() >= give_up_at) co_return;
+            if (written < text.size()) co_await waiter.wait(net::kWrite, give_up_at);
+        }
+    }
+    // A close over input that was not read resets the connection and may destroy the answer on its way.
+    net::end_writing(stream.fd());
+    const Time give_up_at = scheduler_.now() + kSecond;
+    while (scheduler_.now() < give_up_at) {
+        if (waiter.may(net::kRead)) {
+            const auto got = stream.read();
+            stream.buffer().drop(stream.buffer().held().size());
+            if (got == net::Stream::Got::kEnd || got == net::Stream::Got::kBroken) co_return;
+        }
+        co_await waiter.wait(net::kRead, give_up_at);
+    }
+}
+
+// Nothing, if the answer comes with the multiget's ending.
+std::optional<ClientSide::Reply> ClientSide::handle(Connection& connection, parse::HttpReader& request,
+                                                    Time arrived) {
+    if (request.state() == parse::HttpReader::State::kBad) return bad(request.fault(), request.why());
+    if (request.state() != parse::HttpReader::State::kDone) return bad(408, "the request did not come whole");
+    const std::string_view path = std::string_view(request.target()).substr(0, request.target().find('?'));
+    if (request.method() == "POST") return ask(connection, request, arrived);
+    if (request.method() != "GET" && request.method() != "HEAD") return bad(405, "no such method here");
+    if (path == "/up") return Reply{200, "Content-Type: text/plain\r\n", "up\n"};
+    if (path == "/counters") return Reply{200, "Content-Type: text/plain\r\n", print_counters_()};
+    return bad(404, "nothing here");
+}
+
+std::optional<ClientSide::Reply> ClientSide::ask(Connection& connection, parse::HttpReader& request,
+                                                 Time arrived) {
+    MultigetAsked asked;
+    const auto fault = read_multiget(request, arrived, asked);
+    if (!fault.empty()) return bad(400, fault);
+    const auto [taken, id] = exchange_.ask(std::move(asked), [at = &connection](Ending ending) {
+        at->ending = std::move(ending);
+        at->stream.waiter().signal();
+    });
+    switch (taken) {
+        case Exchange::Asked::kTaken: connection.multiget = id; return std::nullopt;
+        case Exchange::Asked::kNoRoom: return Reply{503, "", "no room\n"};
+        case Exchange::Asked::kNameInUse: break;
+    }
+    return bad(409, "a request of this X-Txn is under way");
+}
+
+ClientSide::Reply ClientSide::bad(int status, std::string why) {
+    counters_.add(Count::kBadRequests);
+    log_.line("bad request: " + why);
+    return {status, "Content-Type: text/plain\r\n", why + '\n'};
+}
+
+// What is wrong with it, or nothing.
+std::string ClientSide::read_multiget(parse::HttpReader& request, Time arrived, MultigetAsked& asked) const {
+    const auto index_of = [](const std::vector<std::string>& names, std::string_view name) {
+        return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
+    };
+    const std::string_view path = std::string_view(request.target()).substr(0, request.target().find('?'));
+    const auto op_type = path.substr(path.starts_with('/') ? 1 : 0).substr(0, path.find('/', 1) - 1);
+    asked.op_type = index_of(op_types_, op_type);
+    if (static_cast<std::size_t>(asked.op_type) == op_types_.size()) return "an unknown op type";
+    const auto* lane = request.header("x-lane");
+    if (lane != nullptr && *lane != op_type) return "X-Lane and the path differ";
+    const auto* name = request.header("x-txn");
+    if (name == nullptr || !is_name(*name)) return "X-Txn is missing or malformed";
+    asked.name = *name;
+    if (!tenants_.empty()) {
+        const auto* tenant = request.header("x-org");
+        if (tenant == nullptr) return "X-Org is missing";
+        asked.tenant = index_of(tenants_, *tenant);
+        if (static_cast<std::size_t>(asked.tenant) == tenants_.size()) return "an unknown X-Org";
+    }
+    const auto* remaining = request.header("x-remaining-ms");
+    double ms = 0;
+    if (remaining == nullptr) return "X-Remaining-Ms is missing";
+    const auto [end, error] = std::from_chars(remaining->data(), remaining->data() + remaining->size(), ms);
+    if (error != std::errc{} || end != remaining->data() + remaining->size() || !(ms > 0) ||
+        ms > kMostRemainingMs) {
+        return "X-Remaining-Ms is malformed";
+    }
+    asked.not_after = arrived + static_cast<Time>(ms * 10);
+    const auto* repeat = request.header("x-resent");
+    asked.repeat = repeat != nullptr && *repeat == "1";
+    return read_parts(request.take_body(), asked);
+}
+
+std::string ClientSide::read_parts(const std::string& body, MultigetAsked& asked) const {
+    parse::Json json;
+    try {
+        json = parse::parse_json(body);
+    } catch (const parse::BadJson& error) {
+        return error.what();
+    }
+    const auto* text = json.member("query");
+    const auto* parts = json.member("targets");
+    if (text == nullptr || text->string() == nullptr) return "query is no text";
+    if (parts == nullptr || parts->list() == nullptr || parts->list()->empty()) return "targets is no list of parts";
+    if (parts->list()->size() > kMostParts) return "too many targets";
+    asked.text = *text->string();
+    std::set<int> shards;
+    for (const auto& part : *parts->list()) {
+        const auto number = [&](const char* name) {
+            const auto* member = part.member(name);
+            return member == nullptr ? nullptr : member->number();
+        };
+        const auto* shard = number("partition");
+        const auto* weight = number("share");
+        if (shard == nullptr || shard->value < 0 || shard->value >= shards_ ||
+            shard->value != std::floor(shard->value)) {
+            return "a partition is out of range";
+        }
+        if (weight == nullptr || !(weight->value > 0) || weight->value > 1.001) return "a share is no positive share";
+        PartArrival told;
+        told.shard = static_cast<int>(shard->value);
+        told.weight = weight->value;
+        if (!shards.insert(told.shard).second) return "a partition stands twice";
+        if (part.member("est_us") != nullptr) {
+            const auto* hint = number("est_us");
+            if (hint == nullptr || hint->value < 0 || hint->value > 1e12) return "est_us is no time";
+            told.cost_hint = static_cast<Time>(hint->value / 100);
+        }
+        if (const auto* route = part.member("route")) {
+            const auto* hex = route->string();
+            if (hex == nullptr || hex->size() != 16) return "route is not 16 hex digits";
+            const auto [end, error] = std::from_chars(hex->data(), hex->data() + hex->size(), told.key, 16);
+            if (error != std::errc{} || end != hex->data() + hex->size()) return "route is not 16 hex digits";
+        }
+        asked.parts.push_back(told);
+    }
+    return {};
+}
+
+ClientSide::Reply ClientSide::reply_to(const Ending& ending) {
+    switch (ending.kind) {
+        case Ending::Kind::kPushedBack:
+            return {503, ending.wait > 0 ? "Retry-After: " + decimal_seconds(ending.wait) + "\r\n" : "", ""};
+        case Ending::Kind::kFailed: return {500, "", ""};
+        case Ending::Kind::kAnswered: break;
+    }
+    std::string body = ending.whole ? "{\"whole\":true,\"results\":[" : "{\"whole\":false,\"results\":[";
+    bool first = true;
+    for (const auto& [shard, value] : ending.values) {
+        if (!std::exchange(first, false)) body.push_back(',');
+        body += "{\"partition\":" + std::to_string(shard) + ",\"value\":";
+        parse::append_json_string(body, value);
+        body.push_back('}');
+    }
+    body += "]}";
+    return {200, "Content-Type: application/json\r\n", std::move(body)};
+}
+
+std::string ClientSide::print_gauges() const {
+    std::string out;
+    append_line(out, "clients_open", connections_.size());
+    append_line(out, "clients_open_most_at_once", most_at_once_);
+    return out;
+}
+
+}  // namespace pinedoor::service
--- /dev/null
+++ b/src/service/client_side.hpp
@@ -0,0 +1,86 @@
+// The clients' HTTP connections: takes multigets in, and writes how each has ended.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/stream.hpp"
+#include "parse/http.hpp"
+#include "service/counters.hpp"
+#include "service/exchange.hpp"
+#include "service/log.hpp"
+
+namespace pinedoor::service {
+
+class ClientSide {
+public:
+    ClientSide(net::Scheduler& scheduler, Exchange& exchange, Counters& counters, Log& log,
+               net::Endpoint listen, std::vector<std::string> op_types, std::vector<std::string> tenants,
+               int shards, Time patience, std::size_t most_connections,
+               std::function<std::string()> print_counters);
+
+    void start();
+    // Goes on accepting for as long as new connections may still come, then closes what is idle, answers what was
+    // taken, and is done when no connection is left.
+    void stop();
+    bool done() const { return stopping_ && !accepting_ && connections_.empty(); }
+    std::string print_gauges() const;
+
+private:
+    struct Connection {
+        Connection(net::Scheduler& scheduler, net::Fd fd)
+            : stream(scheduler, std::move(fd)), idle_since(scheduler.now()) {}
+        net::Stream stream;
+        Time idle_since = 0;
+        bool idle = true;     // between requests, with nothing read of the next one
+        bool closing = false; // to be closed while idle
+        Id multiget = 0;      // the open one
+        std::optional<Ending> ending;
+        net::Task task;  // last: goes first
+    };
+    struct Reply {
+        int status = 200;
+        std::string headers;
+        std::string body;
+    };
+
+    net::Task accept();
+    net::Task serve(Connection& connection);
+    bool take_all_queued();
+    bool make_room();
+    void drop(Connection& connection);
+    std::optional<Reply> handle(Connection& connection, parse::HttpReader& request, Time arrived);
+    std::optional<Reply> ask(Connection& connection, parse::HttpReader& request, Time arrived);
+    std::string read_multiget(parse::HttpReader& request, Time arrived, MultigetAsked& asked) const;
+    std::string read_parts(const std::string& body, MultigetAsked& asked) const;
+    Reply bad(int status, std::string why);
+    static Reply reply_to(const Ending& ending);
+
+    net::Scheduler& scheduler_;
+    Exchange& exchange_;
+    Counters& counters_;
+    Log& log_;
+    const net::Endpoint at_;
+    const std::vector<std::string> op_types_;
+    const std::vector<std::string> tenants_;
+    const int shards_;
+    const Time patience_;  // with a request of which a part has come
+    const std::size_t most_connections_;
+    const std::function<std::string()> print_counters_;
+    bool stopping_ = false;
+    bool accepting_ = false;
+    Time accept_until_ = net::kNever;
+    std::size_t most_at_once_ = 0;
+    std::list<std::unique_ptr<Connection>> connections_;
+    net::Fd listener_;
+    std::optional<net::Waiter> waiter_;
+    net::Task task_;
+};
+
+}  // namespace pinedoor::service
--- /dev/null
+++ b/src/service/counters.hpp
@@ -0,0 +1,65 @@
+// What this front node has taken in, sent and answered, counted since its start.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pinedoor::service {
+
+enum class Count : std::size_t {
+    kTaken,
+    kAnsweredWhole,
+    kAnsweredInPart,
+    kPushedBack,
+    kNoRoom,
+    kFailed,
+    kClientsGone,
+    kBadRequests,
+    kSends,
+    kReturned,
+    kError,
+    kFull,
+    kTimedOut,
+    kNoConnection,
+    kReset,
+    kCancelled,
+    kNeverSent,
+    kCalls,
+    kCallOffs,
+    kLateResults,
+    kBadFrames,
+    kOpened,
+    kReused,
+    kClosedIdle,
+    kClosedDoubted,
+    kClosedByServer,
+    kClosedRestarted,
+    kClosedBadFrame,
+    kConnectFailed,
+    kListNews,
+    kListFailures,
+    kListEntriesRefused,
+    kClientsAccepted,
+    kAcceptFailures,
+    kTurns,
+    kTasksThrew,
+    kInvariantsBroken,
+    kLogLinesSuppressed,
+    kEnd
+};
+
+class Counters {
+public:
+    void add(Count which, std::uint64_t by = 1) { values_[static_cast<std::size_t>(which)] += by; }
+    std::uint64_t of(Count which) const { return values_[static_cast<std::size_t>(which)]; }
+    std::string print() const;  // a line each: name, blank, value
+
+private:
+    std::array<std::uint64_t, static_cast<std::size_t>(Count::kEnd)> values_{};
+};
+
+void append_line(std::string& out, std::string_view name, std::uint64_t value);
+
+}  // namespace pinedoor::service
--- /dev/null
+++ b/src/service/exchange.cpp
@@ -0,0 +1,219 @@
+#include "service/exchange.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pinedoor::service {
+
+Exchange::Exchange(net::Scheduler& scheduler, FrontNode node, Time turn, int most_open, int most_sends,
+                   Counters& counters, Log& log)
+    : scheduler_(scheduler), node_(std::move(node)), turn_(turn),
+      most_open_(static_cast<std::size_t>(most_open)), most_sends_(most_sends), counters_(counters),
+      log_(log), waiter_(scheduler) {}
+
+void Exchange::join(Caller& caller, Lister& lister) {
+    caller_ = &caller;
+    lister_ = &lister;
+}
+
+void Exchange::start() {
+    task_ = run();
+    // Without turns nothing is answered any more: whoever started this program must start it again.
+    task_.start([this](std::exception_ptr failure) {
+        scheduler_.defer([failure] { std::rethrow_exception(failure); });
+    });
+}
+
+net::Task Exchange::run() {
+    for (;;) {
+        Time due = bells_.empty() ? net::kNever : bells_.begin()->first;
+        if (!events_.empty()) due = 0;
+        due = std::max(due, last_turn_ + turn_);
+        const Time now = scheduler_.now();
+        if (now >= due) turn(now);
+        else co_await waiter_.wait(0, due);
+    }
+}
+
+void Exchange::turn(Time now) {
+    last_turn_ = now;
+    counters_.add(Count::kTurns);
+    auto events = std::exchange(events_, {});
+    while (!bells_.empty() && bells_.begin()->first <= now) {
+        events.emplace_back(Bell{bells_.begin()->second});
+        bells_.erase(bells_.begin());
+    }
+    for (const auto& action : node_.turn(now, events)) {
+        std::visit([this](const auto& what) { carry_out(what); }, action);
+    }
+    caller_->flush();
+}
+
+void Exchange::happened(Event event) {
+    events_.push_back(std::move(event));
+    waiter_.signal();
+}
+
+Id Exchange::new_id() {
+    do ++last_id_;
+    while (last_id_ == 0 || multigets_.contains(last_id_) || parts_.contains(last_id_));
+    return last_id_;
+}
+
+void Exchange::hold_name(const std::string& name, int by) {
+    if ((names_[name] += by) == 0) names_.erase(name);
+}
+
+std::pair<Exchange::Asked, Id> Exchange::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
+    if (multigets_.size() + parts_.size() + 1 + asked.parts.size() > most_open_) {
+        counters_.add(Count::kNoRoom);
+        return {Asked::kNoRoom, 0};
+    }
+    // Guards the names of parts: two multigets of one name would share them at the index servers.
+    if (names_.contains(asked.name)) return {Asked::kNameInUse, 0};
+    counters_.add(Count::kTaken);
+    MultigetArrival told{new_id(),    ++last_number_,  asked.op_type,          asked.tenant,
+                         asked.repeat, asked.not_after, std::move(asked.parts)};
+    auto& open = multigets_[told.id];
+    open.name = asked.name;
+    open.text = std::make_shared<const std::string>(std::move(asked.text));
+    open.not_after = told.not_after;
+    open.ended = std::move(ended);
+    hold_name(open.name, 1);
+    for (auto& part : told.parts) {
+        part.id = new_id();
+        open.parts.push_back(part.id);
+        parts_[part.id] = {told.id, part.shard, 0, false, {}};
+    }
+    most_at_once_ = std::max(most_at_once_, multigets_.size() + parts_.size());
+    const Id id = told.id;
+    happened(std::move(told));
+    return {Asked::kTaken, id};
+}
+
+void Exchange::leave(Id multiget) {
+    const auto at = multigets_.find(multiget);
+    if (at == multigets_.end()) return;
+    forget(at);
+    counters_.add(Count::kClientsGone);
+    happened(ClientLeft{multiget});
+}
+
+Exchange::Open Exchange::forget(std::map<Id, Open>::iterator at) {
+    auto open = std::move(at->second);
+    multigets_.erase(at);
+    for (const Id part : open.parts) parts_.erase(part);
+    hold_name(open.name, -1);
+    return open;
+}
+
+void Exchange::end(Id multiget, Ending ending) {
+    const auto at = multigets_.find(multiget);
+    if (at == multigets_.end()) return;  // its client left in the same turn
+    if (ending.kind == Ending::Kind::kAnswered) {
+        for (const Id id : at->second.parts) {
+            auto& part = parts_.at(id);
+            if (part.in) ending.values.emplace_back(part.shard, std::move(part.value));
+        }
+    }
+    forget(at).ended(std::move(ending));
+}
+
+void Exchange::over(const PartCall& call, Outcome outcome, std::vector<double> load, std::string value) {
+    const auto at = out_.find({call.part, call.send});
+    const bool is_out = at != out_.end();
+    assert(is_out && "a send gets exactly one outcome");
+    if (!is_out) return counters_.add(Count::kInvariantsBroken);
+    hold_name(at->second, -1);
+    out_.erase(at);
+    constexpr auto kFirst = static_cast<std::size_t>(Count::kReturned);
+    counters_.add(static_cast<Count>(kFirst + static_cast<std::size_t>(outcome)));
+    const auto part = parts_.find(call.part);
+    if (outcome == Outcome::kReturned && part != parts_.end() && !part->second.in) {
+        part->second.in = true;
+        part->second.value = std::move(value);
+    }
+    happened(SendEnded{call.part, call.send, call.server, scheduler_.now() - call.sent, outcome,
+                       std::move(load)});
+}
+
+void Exchange::list_news(ListKind kind, std::vector<Member> members) {
+    counters_.add(kind == ListKind::kFailed ? Count::kListFailures : Count::kListNews);
+    if (kind != ListKind::kFailed) list_heard_ = scheduler_.now();
+    ListNews news{kind, {}};
+    for (auto& member : members) {
+        // A server keeps its id here however often it is listed, and whatever address it is listed at.
+        const ServerId fresh{static_cast<std::uint32_t>(servers_.size() + 1), 0};
+        const auto [at, is_new] = servers_.try_emplace(member.name, fresh);
+        member.entry.server = at->second;
+        if (is_new) {
+            log_.line("server " + std::to_string(fresh.address) + " is " + member.name + " at " +
+                      net::to_text(member.at));
+        }
+        caller_->learn(at->second, member.at, member.entry.state, member.entry.started);
+        news.entries.push_back(member.entry);
+    }
+    happened(std::move(news));
+}
+
+void Exchange::carry_out(const Send& send) {
+    const auto part = parts_.find(send.part);
+    const Time now = last_turn_;
+    PartCall call{send.part, 0, send.server, {}, 0, nullptr, now, now};
+    if (part == parts_.end()) {  // its client left in the same turn
+        return happened(SendEnded{send.part, 0, send.server, 0, Outcome::kNeverSent, {}});
+    }
+    const auto& open = multigets_.at(part->second.multiget);
+    call.send = part->second.sends++;
+    call.name = open.name;
+    call.shard = part->second.shard;
+    call.text = open.text;
+    call.until = send.try_for > 0 ? std::min(open.not_after, now + send.try_for) : open.not_after;
+    counters_.add(Count::kSends);
+    out_.emplace(std::pair{call.part, call.send}, call.name);
+    hold_name(call.name, 1);
+    if (call.send >= most_sends_ || call.until <= now) return over(call, Outcome::kNeverSent);
+    caller_->call(std::move(call));
+}
+
+void Exchange::carry_out(const CallOff& call_off) {
+    if (!out_.contains({call_off.part, call_off.send})) return;  // it ended in the same turn
+    counters_.add(Count::kCallOffs);
+    caller_->call_off(call_off.part, call_off.send);
+}
+
+void Exchange::carry_out(const Answer& answer) {
+    counters_.add(answer.whole ? Count::kAnsweredWhole : Count::kAnsweredInPart);
+    end(answer.multiget, {Ending::Kind::kAnswered, answer.whole, 0, {}});
+}
+
+void Exchange::carry_out(const PushBack& push_back) {
+    counters_.add(Count::kPushedBack);
+    end(push_back.multiget, {Ending::Kind::kPushedBack, false, push_back.wait, {}});
+}
+
+void Exchange::carry_out(const Fail& fail) {
+    counters_.add(Count::kFailed);
+    end(fail.multiget, {Ending::Kind::kFailed, false, 0, {}});
+}
+
+void Exchange::carry_out(const SetBell& bell) {
+    bells_.emplace(last_turn_ + std::max<Time>(1, bell.after), bell.token);
+}
+
+void Exchange::carry_out(const LogLine& line) { log_.line(line.text); }
+
+void Exchange::carry_out(const Probe& probe) { happened(Probed{probe.server, false, 0, {}}); }
+
+std::string Exchange::print_gauges() const {
+    std::string out;
+    append_line(out, "open_multigets", multigets_.size());
+    append_line(out, "open_parts", parts_.size());
+    append_line(out, "open_most_at_once", most_at_once_);
+    append_line(out, "sends_out", out_.size());
+    append_line(out, "list_age_ms",
+                list_heard_ == 0 ? 0 : static_cast<std::uint64_t>(scheduler_.now() - list_heard_) / 10);
+    return out;
+}
+
+}  // namespace pinedoor::service
--- /dev/null
+++ b/src/service/exchange.hpp
@@ -0,0 +1,153 @@
+// Where the client side, the server side and the list meet. It owns the decision module: it gathers what happens, gives
+// the module its turns and hands out what it decides. It knows neither HTTP nor frames: whoever takes multigets in
+// gives ask() a way to be told the ending, and whoever carries calls is a Caller.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "logic.hpp"
+#include "net/scheduler.hpp"
+#include "service/counters.hpp"
+#include "service/log.hpp"
+
+namespace pinedoor::service {
+
+struct MultigetAsked {
+    std::string name;  // the client's, new with every request
+    int op_type = 0;
+    int tenant = 0;
+    bool repeat = false;
+    Time not_after = 0;
+    std::string text;  // what every part carries
+    std::vector<PartArrival> parts;  // their ids are given here
+};
+
+struct Ending {
+    enum class Kind { kAnswered, kPushedBack, kFailed } kind = Kind::kFailed;
+    bool whole = false;
+    Time wait = 0;                                    // advice with a pushback; 0: none
+    std::vector<std::pair<int, std::string>> values;  // shard and value of each part that is in
+};
+
+struct PartCall {  // one send, to be carried out
+    Id part = 0;
+    int send = 0;
+    ServerId server;
+    std::string name;  // of its multiget
+    int shard = 0;
+    std::shared_ptr<const std::string> text;
+    Time sent = 0;
+    Time until = 0;
+};
+
+class Caller {
+public:
+    virtual ~Caller() = default;
+    virtual void call(PartCall call) = 0;           // those of one turn are followed by flush()
+    virtual void flush() = 0;
+    virtual void call_off(Id part, int send) = 0;   // of one that is out
+    virtual void learn(ServerId server, net::Endpoint at, ServerState state, Time started) = 0;
+};
+
+class Lister {
+public:
+    virtual ~Lister() = default;
+    virtual void watch() = 0;
+    virtual void fetch() = 0;
+};
+
+struct Member {  // of the list, as discovery names it
+    std::string name;
+    net::Endpoint at;
+    ListEntry entry;  // without the server's id, which is given here
+};
+
+class Exchange {
+public:
+    Exchange(net::Scheduler& scheduler, FrontNode node, Time turn, int most_open, int most_sends,
+             Counters& counters, Log& log);
+
+    void join(Caller& caller, Lister& lister);
+    void start();  // once both are there and the known list is in
+
+    // 0: there is no room, or its name is in use. The ending is told once, unless leave() comes first.
+    enum class Asked { kTaken, kNoRoom, kNameInUse };
+    std::pair<Asked, Id> ask(MultigetAsked asked, std::function<void(Ending)> ended);
+    void leave(Id multiget);
+
+    // Exactly one outcome for each call; the value counts with kReturned only.
+    void over(const PartCall& call, Outcome outcome, std::vector<double> load = {}, std::string value = {});
+
+    void list_news(ListKind kind, std::vector<Member> members);
+
+    bool idle() const { return multigets_.empty(); }
+    std::string print_gauges() const;
+
+private:
+    struct Open {
+        std::string name;
+        std::shared_ptr<const std::string> text;
+        Time not_after = 0;
+        std::vector<Id> parts;
+        std::function<void(Ending)> ended;
+    };
+    struct OpenPart {
+        Id multiget = 0;
+        int shard = 0;
+        int sends = 0;
+        bool in = false;
+        std::string value;
+    };
+
+    net::Task run();
+    void turn(Time now);
+    void happened(Event event);
+    Id new_id();
+    void hold_name(const std::string& name, int by);
+    Open forget(std::map<Id, Open>::iterator at);
+    void end(Id multiget, Ending ending);
+
+    void carry_out(const Send& send);
+    void carry_out(const CallOff& call_off);
+    void carry_out(const Answer& answer);
+    void carry_out(const PushBack& push_back);
+    void carry_out(const Fail& fail);
+    void carry_out(const SetBell& bell);
+    void carry_out(const LogLine& line);
+    void carry_out(const WatchList&) { lister_->watch(); }
+    void carry_out(const FetchList&) { lister_->fetch(); }
+    void carry_out(const Probe& probe);
+
+    net::Scheduler& scheduler_;
+    FrontNode node_;
+    const Time turn_;
+    const std::size_t most_open_;
+    const int most_sends_;
+    Counters& counters_;
+    Log& log_;
+    Caller* caller_ = nullptr;
+    Lister* lister_ = nullptr;
+
+    std::vector<Event> events_;
+    std::multimap<Time, std::uint32_t> bells_;
+    Time last_turn_ = 0;
+    std::map<Id, Open> multigets_;
+    std::map<Id, OpenPart> parts_;
+    std::map<std::pair<Id, int>, std::string> out_;  // sends without an outcome, by their multiget's name
+    std::map<std::string, int> names_;               // held by an open multiget, or by sends of it still out
+    std::map<std::string, ServerId> servers_;
+    std::size_t most_at_once_ = 0;
+    Time list_heard_ = 0;
+    Id last_id_ = 0;
+    std::uint32_t last_number_ = 0;
+    net::Waiter waiter_;
+    net::Task task_;
+};
+
+}  // namespace pinedoor::service
--- /dev/null
+++ b/src/service/front_door.hpp
@@ -0,0 +1,41 @@
+// One front node, put together: the exchange with the decision module, and the sides round it. To embed pinedoor, make a
+// scheduler and a FrontDoor, start it, and run the scheduler until done().
+#pragma once
+
+#include <cstdio>
+#include <string>
+
+#include "net/scheduler.hpp"
+#include "service/client_side.hpp"
+#include "service/counters.hpp"
+#include "service/descriptors.hpp"
+#include "service/exchange.hpp"
+#include "service/list_watch.hpp"
+#include "service/log.hpp"
+#include "service/server_side.hpp"
+#include "stated/launch.hpp"
+
+namespace pinedoor::service {
+
+class FrontDoor {
+public:
+    FrontDoor(net::Scheduler& scheduler, const stated::Launch& launch, std::FILE* log);
+
+    void start();  // listens; throws if it cannot
+    void stop();   // finishes what was taken
+    bool done() const { return clients_.done(); }
+    std::string print_counters() const;
+
+private:
+    net::Scheduler& scheduler_;
+    const parse::Json known_;
+    Counters counters_;
+    Log log_;
+    const Descriptors descriptors_;
+    Exchange exchange_;
+    ServerSide servers_;
+    ListWatch list_;
+    ClientSide clients_;
+};
+
+}  // namespace pinedoor::service
--- /dev/null
+++ b/src/service/list_watch.cpp
@@ -0,0 +1,157 @@
+#include "service/list_watch.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "parse/http.hpp"
+
+namespace pinedoor::service {
+namespace {
+
+// A watch says something every 2 s; 6 s after the fact its news counts as told anyway.
+constexpr Time kSilence = 40'000;
+constexpr std::size_t kLongestLine = 256 * 1024;
+constexpr double kMostMs = 1e13;
+constexpr int kMostPlaces = 1'000'000;
+
+}  // namespace
+
+ListWatch::ListWatch(net::Scheduler& scheduler, Exchange& exchange, Counters& counters, Log& log,
+                     net::Endpoint discovery, std::vector<std::string> zones)
+    : scheduler_(scheduler), exchange_(exchange), counters_(counters), log_(log), discovery_(discovery),
+      zones_(std::move(zones)) {}
+
+void ListWatch::take_known(const parse::Json& known) {
+    if (!take_list(known, true)) log_.line("the known list cannot be used");
+}
+
+void ListWatch::watch() { start(watching_, true); }
+void ListWatch::fetch() { start(fetching_, false); }
+
+// A call that is under way goes on: it ends by itself, and then says so.
+void ListWatch::start(net::Task& task, bool stream) {
+    if (!task.done()) return;
+    task = follow(stream);
+    task.start([this](std::exception_ptr failure) {
+        if (failure) counters_.add(Count::kTasksThrew);
+        exchange_.list_news(ListKind::kFailed, {});
+    });
+}
+
+net::Task ListWatch::follow(bool stream) {
+    auto fd = net::connect_to(discovery_);
+    if (!fd) co_return;
+    net::Stream connection(scheduler_, std::move(fd));
+    auto& waiter = connection.waiter();
+    Time heard = scheduler_.now();
+    std::string target = "/discovery/hosts";
+    if (stream) target += "?stream=1" + (revision_.empty() ? "" : "&index=" + revision_);
+    const auto request = parse::http_get(target, net::to_text(discovery_));
+    std::size_t written = 0;
+    parse::HttpReader reader(parse::HttpReader::Kind::kResponse, {16 * 1024, kLongestLine});
+    std::string lines;
+    for (;;) {
+        if (scheduler_.now() - heard >= kSilence || connection.broken()) co_return;
+        if (written < request.size() && waiter.may(net::kWrite)) {
+            if (net::socket_error(connection.fd()) != 0) co_return;
+            written += connection.write(std::string_view(request).substr(written));
+        }
+        if (waiter.may(net::kRead)) {
+            switch (connection.read()) {
+                case net::Stream::Got::kBytes: heard = scheduler_.now(); break;
+                case net::Stream::Got::kNothing: break;
+                default: co_return;
+            }
+        }
+        auto& buffer = connection.buffer();
+        buffer.drop(reader.feed(buffer.held()));
+        if (reader.state() == parse::HttpReader::State::kBad) co_return;
+        if (reader.state() != parse::HttpReader::State::kHead && reader.status() != 200) co_return;
+        lines += reader.take_body();
+        for (auto end = lines.find('\n'); end != std::string::npos; end = lines.find('\n')) {
+            const auto line = lines.substr(0, end);
+            lines.erase(0, end + 1);
+            if (line.find_first_not_of(" \t\r") != std::string::npos && !take_object(line)) co_return;
+        }
+        if (lines.size() > kLongestLine) co_return;
+        if (reader.state() == parse::HttpReader::State::kDone) {
+            if (!stream && !lines.empty()) take_object(lines);
+            co_return;
+        }
+        co_await waiter.wait(net::kRead | (written < request.size() ? net::kWrite : 0U), heard + kSilence);
+    }
+}
+
+bool ListWatch::take_object(std::string_view text) {
+    try {
+        return take_list(parse::parse_json(text, {kLongestLine, 8}), false);
+    } catch (const parse::BadJson& error) {
+        log_.line(std::string("discovery: ") + error.what());
+        return false;
+    }
+}
+
+bool ListWatch::take_list(const parse::Json& list, bool saved) {
+    const auto* revision = list.member("revision");
+    const auto* complete = list.member("complete");
+    const auto* members = list.member("members");
+    if (revision == nullptr || revision->number() == nullptr || complete == nullptr ||
+        complete->boolean() == nullptr || members == nullptr || members->list() == nullptr) {
+        return false;
+    }
+    std::vector<Member> read;
+    for (const auto& json : *members->list()) {
+        auto member = read_member(json);
+        if (member) {
+            read.push_back(std::move(*member));
+            continue;
+        }
+        counters_.add(Count::kListEntriesRefused);
+        const auto* id = json.member("id");
+        log_.line("list entry refused: " +
+                  (id != nullptr && id->string() != nullptr ? id->string()->substr(0, 80) : "without id"));
+    }
+    revision_ = revision->number()->text;
+    const auto kind = *complete->boolean() ? ListKind::kFull : ListKind::kChanges;
+    exchange_.list_news(saved ? ListKind::kSaved : kind, std::move(read));
+    return true;
+}
+
+std::optional<Member> ListWatch::read_member(const parse::Json& json) const {
+    const auto text = [&](const char* name) -> const std::string* {
+        const auto* member = json.member(name);
+        return member == nullptr ? nullptr : member->string();
+    };
+    const auto number = [&](const char* name, double least, double most) -> std::optional<double> {
+        const auto* member = json.member(name);
+        if (member == nullptr || member->number() == nullptr) return std::nullopt;
+        const double value = member->number()->value;
+        return value < least || value > most ? std::nullopt : std::optional(value);
+    };
+    const auto* id = text("id");
+    const auto* address = text("host_port");
+    const auto* zone = text("locality");
+    const auto* phase = text("phase");
+    const auto place = number("cell", 0, kMostPlaces);
+    const auto size = number("size", 0, 1e9);
+    const auto started = number("up_since_ms", 0, kMostMs);
+    if (id == nullptr || id->empty() || address == nullptr || phase == nullptr || !place || !size || !started) {
+        return std::nullopt;
+    }
+    const auto at = net::parse_endpoint(*address);
+    if (!at || *place != std::floor(*place)) return std::nullopt;
+    Member member{*id, *at, {}};
+    // A zone that the settings do not name is one more, which is none of ours.
+    const auto known = zone == nullptr ? zones_.end() : std::find(zones_.begin(), zones_.end(), *zone);
+    member.entry.zone = static_cast<int>(known - zones_.begin());
+    member.entry.place = static_cast<int>(*place);
+    member.entry.size = *size;
+    member.entry.started = static_cast<Time>(std::llround(*started * 10));
+    if (*phase == "Ready") member.entry.state = ServerState::kReady;
+    else if (*phase == "Terminating") member.entry.state = ServerState::kDraining;
+    else if (*phase == "Gone") member.entry.state = ServerState::kGone;
+    else return std::nullopt;
+    return member;
+}
+
+}  // namespace pinedoor::service
--- /dev/null
+++ b/src/service/server_side.cpp
@@ -0,0 +1,409 @@
+#include "service/server_side.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+
+#include "parse/frame.hpp"
+
+namespace pinedoor::service {
+namespace {
+
+constexpr std::size_t kLargestFrame = 128 * 1024;  // a value may be as long as a whole answer's body
+constexpr std::size_t kEndedKept = 1024;           // names of given up parts, for each connection
+constexpr Time kTicksPerMs = 10;
+
+}  // namespace
+
+ServerSide::ServerSide(net::Scheduler& scheduler, Exchange& exchange, Counters& counters, Log& log,
+                       std::vector<std::string> report_fields, int parts_per_call, int streams,
+                       Time connect_timeout, Time connection_idle, std::size_t most_connections)
+    : scheduler_(scheduler), exchange_(exchange), counters_(counters), log_(log),
+      report_fields_(std::move(report_fields)), parts_per_call_(static_cast<std::size_t>(parts_per_call)),
+      streams_(static_cast<std::size_t>(streams)), connect_timeout_(connect_timeout),
+      // The server closes what stands idle for the stated time: what is written then ends in a reset.
+      idle_(connection_idle * 3 / 4), most_connections_(most_connections), waiter_(scheduler) {}
+
+void ServerSide::start() {
+    task_ = expire();
+    task_.start([this](std::exception_ptr failure) {
+        scheduler_.defer([failure] { std::rethrow_exception(failure); });
+    });
+}
+
+void ServerSide::learn(ServerId id, net::Endpoint at, ServerState state, Time started) {
+    auto& server = servers_[id];
+    const bool moved = server.at != at;
+    server.at = at;
+    server.state = state;
+    server.started = started;
+    for (auto& connection : server.connections) {
+        // A connection older than its server's process cannot live, though nothing may ever say so.
+        if (moved || (connection->up && connection->opened < started)) close(*connection, Count::kClosedRestarted);
+    }
+}
+
+void ServerSide::call(PartCall call) {
+    auto& server = servers_[call.server];
+    if (server.gathered.empty()) gathered_.push_back(call.server);
+    server.gathered.push_back(std::move(call));
+}
+
+void ServerSide::flush() {
+    for (const auto& id : std::exchange(gathered_, {})) {
+        auto& server = servers_.at(id);
+        auto calls = std::exchange(server.gathered, {});
+        for (std::size_t from = 0; from < calls.size(); from += parts_per_call_) {
+            const auto until = std::min(calls.size(), from + parts_per_call_);
+            assign(server, {calls.begin() + static_cast<std::ptrdiff_t>(from),
+                            calls.begin() + static_cast<std::ptrdiff_t>(until)});
+        }
+    }
+}
+
+void ServerSide::assign(Server& server, std::vector<PartCall> calls) {
+    auto* connection = choose(server, calls.size());
+    std::vector<SendKey> keys;
+    for (auto& call : calls) {
+        const SendKey key{call.part, call.send};
+        auto& sent = sent_[key];
+        sent.name = call.name + '.' + std::to_string(call.shard);
+        sent.call = std::move(call);
+        sent.on = connection;
+        sent.due = net::kNever;
+        keys.push_back(key);
+    }
+    if (connection == nullptr) {  // refused at once, or no descriptor is left
+        const bool refused = connections_ < most_connections_;
+        for (const auto& key : keys) end_send(key, refused ? Outcome::kNoConnection : Outcome::kNeverSent);
+        return;
+    }
+    for (const auto& key : keys) {
+        auto& sent = sent_.at(key);
+        set_due(key, sent, std::min(sent.call.until, sent.call.sent + connect_timeout_));
+    }
+    connection->sends += keys.size();
+    connection->waiting.push_back(std::move(keys));
+    if (connection->up) write_frames(*connection);
+    connection->stream.waiter().signal();
+}
+
+// The fullest open connection with room, so that the others fall idle; one that is doubted takes nothing new, lest a
+// machine that vanished without word swallow part after part. A new one is opened only if none has room.
+ServerSide::Connection* ServerSide::choose(Server& server, std::size_t parts) {
+    Connection* best = nullptr;
+    Connection* least = nullptr;
+    const Time now = scheduler_.now();
+    for (auto& connection : server.connections) {
+        if (connection->ending || connection->doubted) continue;
+        if (!connection->up && now - connection->opened >= connect_timeout_) continue;
+        if (!connection->busy() && now - connection->used >= idle_) continue;
+        if (least == nullptr || connection->load() < least->load()) least = connection.get();
+        if (connection->load() + parts > streams_ && connection->load() > 0) continue;
+        const auto rank = [](const Connection& c) { return std::pair{c.up, c.load()}; };
+        if (best == nullptr || rank(*connection) > rank(*best)) best = connection.get();
+    }
+    if (best != nullptr && best->up) counters_.add(Count::kReused);
+    if (best != nullptr) return best;
+    if (connections_ >= most_connections_) return least;
+    return open(server);
+}
+
+ServerSide::Connection* ServerSide::open(Server& server) {
+    auto fd = net::connect_to(server.at);
+    if (!fd) {
+        counters_.add(Count::kConnectFailed);
+        return nullptr;
+    }
+    counters_.add(Count::kOpened);
+    most_at_once_ = std::max(most_at_once_, ++connections_);
+    auto& connection =
+        *server.connections.emplace_back(std::make_unique<Connection>(scheduler_, std::move(fd), server));
+    connection.task = serve(connection);
+    connection.task.start([this, at = &connection](std::exception_ptr failure) {
+        if (failure) counters_.add(Count::kTasksThrew);
+        finish(*at);
+    });
+    return &connection;
+}
+
+net::Task ServerSide::serve(Connection& connection) {
+    auto& stream = connection.stream;
+    auto& waiter = stream.waiter();
+    while (!connection.up && !connection.ending) {
+        co_await waiter.wait(net::kWrite);
+        if (!waiter.may(net::kWrite)) continue;
+        if (net::socket_error(stream.fd()) != 0) close(connection, Count::kConnectFailed);
+        connection.up = !connection.ending;
+    }
+    connection.used = scheduler_.now();
+    while (!connection.ending) {
+        if (waiter.may(net::kRead) && !read_frames(connection)) break;
+        write_frames(connection);
+        if (stream.broken()) break;
+        if (connection.ending) break;
+        const bool writing = connection.written < connection.frame.size();
+        const Time idle_at = connection.busy() ? net::kNever : connection.used + idle_;
+        if (scheduler_.now() >= idle_at) close(connection, Count::kClosedIdle);
+        // Nothing is out on it any more, and it has said nothing since the last send timed out.
+        if (connection.doubted && !connection.busy()) close(connection, Count::kClosedDoubted);
+        if (connection.ending) break;
+        co_await waiter.wait(net::kRead | (writing ? net::kWrite : 0U), idle_at);
+    }
+}
+
+// False when the connection has ended or must end.
+bool ServerSide::read_frames(Connection& connection) {
+    switch (connection.stream.read()) {
+        case net::Stream::Got::kNothing: return true;
+        case net::Stream::Got::kEnd:
+        case net::Stream::Got::kBroken: return false;
+        case net::Stream::Got::kBytes: break;
+    }
+    connection.used = connection.read = scheduler_.now();
+    connection.doubted = false;
+    auto& buffer = connection.stream.buffer();
+    for (;;) {
+        const auto frame = parse::scan_frame(buffer.held(), kLargestFrame);
+        if (frame.state == parse::FrameScan::State::kMore) return true;
+        const bool good = frame.state == parse::FrameScan::State::kFrame && frame.letter == 'R' &&
+                          take_result(connection, frame.rest);
+        if (!good) {
+            counters_.add(Count::kBadFrames);
+            log_.line("bad frame from " + net::to_text(connection.server.at));
+            close(connection, Count::kClosedBadFrame);
+            return false;
+        }
+        buffer.drop(frame.size);
+    }
+}
+
+bool ServerSide::take_result(Connection& connection, std::string_view rest) {
+    const auto result = parse::parse_result(rest);
+    if (!result) return false;
+    const auto at = connection.out.find(std::string(result->id));
+    if (at == connection.out.end()) {
+        auto& ended = connection.ended;
+        const auto late = std::find(ended.begin(), ended.end(), result->id);
+        if (late == ended.end()) return false;
+        ended.erase(late);
+        counters_.add(Count::kLateResults);
+        return true;
+    }
+    const auto key = at->second;
+    if (sent_.at(key).stage != Stage::kOut) return false;  // answered before it was asked
+    const auto outcome = result->end == parse::ResultEnd::kDone   ? Outcome::kReturned
+                         : result->end == parse::ResultEnd::kFull ? Outcome::kFull
+                                                                  : Outcome::kError;
+    end_send(key, outcome, read_report(result->report), std::string(result->value));
+    return true;
+}
+
+std::vector<double> ServerSide::read_report(std::string_view report) const {
+    if (report.empty()) return {};
+    std::vector<double> values(report_fields_.size());
+    while (!report.empty()) {
+        const auto field = report.substr(0, report.find(','));
+        report.remove_prefix(std::min(field.size() + 1, report.size()));
+        const auto split = field.find('=');
+        if (split == std::string_view::npos) continue;
+        const auto name = std::find(report_fields_.begin(), report_fields_.end(), field.substr(0, split));
+        if (name == report_fields_.end()) continue;
+        auto& value = values[static_cast<std::size_t>(name - report_fields_.begin())];
+        std::from_chars(field.data() + split + 1, field.data() + field.size(), value);
+    }
+    return values;
+}
+
+void ServerSide::write_frames(Connection& connection) {
+    for (;;) {
+        if (connection.written == connection.frame.size()) {
+            fill_frame(connection);
+            if (connection.frame.empty()) return;
+        }
+        const auto rest = std::string_view(connection.frame).substr(connection.written);
+        connection.written += connection.stream.write(rest);
+        connection.used = scheduler_.now();
+        if (connection.written < connection.frame.size()) {
+            if (connection.stream.broken()) connection.stream.waiter().signal();
+            return;
+        }
+        frame_written(connection);
+    }
+}
+
+// What gives parts up goes before new calls: a part may be sent again on the connection it was given up on.
+void ServerSide::fill_frame(Connection& connection) {
+    connection.written = 0;
+    connection.frame = std::exchange(connection.commands, {});
+    if (!connection.frame.empty() || connection.waiting.empty()) return;
+    connection.writing = std::move(connection.waiting.front());
+    connection.waiting.pop_front();
+    connection.frame = parse::begin_frame('S');
+    const Time now = scheduler_.now();
+    for (const auto& key : connection.writing) {
+        auto& sent = sent_.at(key);
+        sent.stage = Stage::kWriting;
+        connection.out[sent.name] = key;
+        const auto wait = std::max<Time>(1, (sent.call.until - now) / kTicksPerMs);
+        parse::append_part(connection.frame, sent.name, sent.call.shard, wait, *sent.call.text);
+    }
+    parse::end_frame(connection.frame);
+}
+
+void ServerSide::frame_written(Connection& connection) {
+    connection.frame.clear();
+    connection.written = 0;
+    if (connection.writing.empty()) return;
+    counters_.add(Count::kCalls);
+    const Time now = scheduler_.now();
+    for (const auto& key : std::exchange(connection.writing, {})) {
+        const auto at = sent_.find(key);
+        if (at == sent_.end()) continue;  // given up while it was being written
+        at->second.stage = Stage::kOut;
+        at->second.written = now;
+        set_due(key, at->second, at->second.call.until);
+    }
+}
+
+void ServerSide::call_off(Id part, int send) {
+    const SendKey key{part, send};
+    const auto at = sent_.find(key);
+    if (at == sent_.end()) {  // gathered in this very turn
+        for (const auto& id : gathered_) {
+            auto& gathered = servers_.at(id).gathered;
+            const auto which = std::find_if(gathered.begin(), gathered.end(), [&](const auto& call) {
+                return call.part == part && call.send == send;
+            });
+            if (which == gathered.end()) continue;
+            const auto call = *which;
+            gathered.erase(which);
+            return exchange_.over(call, Outcome::kNeverSent);
+        }
+        return;
+    }
+    auto& sent = at->second;
+    if (sent.stage == Stage::kWaiting) {
+        drop_waiting(*sent.on, key);
+        return end_send(key, Outcome::kNeverSent);
+    }
+    give_up(key, sent);
+    end_send(key, Outcome::kCancelled);
+}
+
+void ServerSide::drop_waiting(Connection& connection, const SendKey& key) {
+    for (auto at = connection.waiting.begin(); at != connection.waiting.end(); ++at) {
+        if (std::erase(*at, key) == 0) continue;
+        if (at->empty()) connection.waiting.erase(at);
+        return;
+    }
+}
+
+void ServerSide::give_up(const SendKey&, Sent& sent) {
+    auto& connection = *sent.on;
+    auto frame = parse::begin_frame('C');
+    frame += sent.name;
+    parse::end_frame(frame);
+    connection.commands += frame;
+    connection.ended.push_back(sent.name);
+    if (connection.ended.size() > kEndedKept) connection.ended.pop_front();
+    connection.stream.waiter().signal();
+}
+
+void ServerSide::end_send(const SendKey& key, Outcome outcome, std::vector<double> load, std::string value) {
+    const auto at = sent_.find(key);
+    assert(at != sent_.end());
+    auto& sent = at->second;
+    if (auto* connection = sent.on; connection != nullptr) {
+        --connection->sends;
+        const auto named = connection->out.find(sent.name);
+        if (named != connection->out.end() && named->second == key) connection->out.erase(named);
+        if (!connection->busy()) connection->stream.waiter().signal();
+    }
+    set_due(key, sent, net::kNever);
+    const auto call = std::move(sent.call);
+    sent_.erase(at);
+    exchange_.over(call, outcome, std::move(load), std::move(value));
+}
+
+void ServerSide::set_due(const SendKey& key, Sent& sent, Time due) {
+    if (sent.due != net::kNever) {
+        auto [from, to] = due_.equal_range(sent.due);
+        for (; from != to; ++from) {
+            if (from->second != key) continue;
+            due_.erase(from);
+            break;
+        }
+    }
+    sent.due = due;
+    if (due == net::kNever) return;
+    const bool first = due_.empty() || due < due_.begin()->first;
+    due_.emplace(due, key);
+    if (first) waiter_.signal();
+}
+
+net::Task ServerSide::expire() {
+    for (;;) {
+        const Time now = scheduler_.now();
+        while (!due_.empty() && due_.begin()->first <= now) look_at(due_.begin()->second, now);
+        co_await waiter_.wait(0, due_.empty() ? net::kNever : due_.begin()->first);
+    }
+}
+
+void ServerSide::look_at(const SendKey& key_due, Time now) {
+    const auto key = key_due;
+    auto& sent = sent_.at(key);
+    auto& connection = *sent.on;
+    const bool ran_out = now >= sent.call.until;
+    switch (sent.stage) {
+        case Stage::kWaiting: {
+            // No connection came up in time, or the one that is up takes no more bytes.
+            drop_waiting(connection, key);
+            const bool waited = now - sent.call.sent >= connect_timeout_;
+            end_send(key, waited ? Outcome::kNoConnection : Outcome::kNeverSent);
+            if (!connection.up && connection.sends == 0) close(connection, Count::kConnectFailed);
+            return;
+        }
+        case Stage::kWriting:
+            if (!ran_out) return set_due(key, sent, sent.call.until);
+            [[fallthrough]];
+        case Stage::kOut:
+            if (connection.read < sent.written || sent.stage == Stage::kWriting) connection.doubted = true;
+            give_up(key, sent);
+            return end_send(key, Outcome::kTimedOut);
+    }
+}
+
+void ServerSide::close(Connection& connection, Count cause) {
+    if (connection.ending) return;
+    connection.ending = true;
+    connection.cause = cause;
+    connection.stream.waiter().signal();
+}
+
+// The connection is over: what was not written whole has never run, the rest may have.
+void ServerSide::finish(Connection& connection) {
+    connection.ending = true;
+    counters_.add(connection.cause);
+    for (const auto& call : std::exchange(connection.waiting, {})) {
+        for (const auto& key : call) end_send(key, Outcome::kNoConnection);
+    }
+    for (const auto& key : std::exchange(connection.writing, {})) {
+        if (sent_.contains(key)) end_send(key, Outcome::kNoConnection);
+    }
+    while (!connection.out.empty()) end_send(connection.out.begin()->second, Outcome::kReset);
+    assert(connection.sends == 0);
+    scheduler_.defer([this, at = &connection] {
+        std::erase_if(at->server.connections, [at](const auto& each) { return each.get() == at; });
+        --connections_;
+    });
+}
+
+std::string ServerSide::print_gauges() const {
+    std::string out;
+    append_line(out, "connections_open", connections_);
+    append_line(out, "connections_open_most_at_once", most_at_once_);
+    return out;
+}
+
+}  // namespace pinedoor::service
--- /dev/null
+++ b/src/service/server_side.hpp
@@ -0,0 +1,119 @@
+// The connections to index servers: carries calls in frames, and tells the exchange how each send ended.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/stream.hpp"
+#include "service/counters.hpp"
+#include "service/exchange.hpp"
+#include "service/log.hpp"
+
+namespace pinedoor::service {
+
+class ServerSide : public Caller {
+public:
+    ServerSide(net::Scheduler& scheduler, Exchange& exchange, Counters& counters, Log& log,
+               std::vector<std::string> report_fields, int parts_per_call, int streams,
+               Time connect_timeout, Time connection_idle, std::size_t most_connections);
+
+    void start();
+    void call(PartCall call) override;
+    void flush() override;
+    void call_off(Id part, int send) override;
+    void learn(ServerId server, net::Endpoint at, ServerState state, Time started) override;
+    std::string print_gauges() const;
+
+private:
+    using SendKey = std::pair<Id, int>;
+    enum class Stage { kWaiting, kWriting, kOut };  // no byte written; some; all
+
+    struct Server;
+    struct Connection {
+        Connection(net::Scheduler& scheduler, net::Fd fd, Server& to)
+            : server(to), stream(scheduler, std::move(fd)), opened(scheduler.now()), used(opened) {}
+
+        std::size_t load() const { return sends; }
+        bool busy() const { return sends > 0 || !commands.empty() || written < frame.size(); }
+
+        Server& server;
+        net::Stream stream;
+        std::deque<std::vector<SendKey>> waiting;  // calls of which no byte is written
+        std::vector<SendKey> writing;              // the call whose frame is being written
+        std::map<std::string, SendKey> out;        // by the part's name on the wire
+        std::deque<std::string> ended;             // names of parts given up here, which may still be answered
+        std::string commands;                      // frames that give parts up
+        std::string frame;                         // being written
+        std::size_t written = 0;
+        std::size_t sends = 0;  // in all three stages
+        bool up = false;
+        bool ending = false;
+        bool doubted = false;  // a send timed out here, and nothing has been read since it was written
+        Count cause = Count::kClosedByServer;
+        Time opened = 0;
+        Time used = 0;  // when last read from or written to
+        Time read = 0;
+        net::Task task;  // last: goes first
+    };
+    struct Server {
+        net::Endpoint at;
+        ServerState state = ServerState::kGone;
+        Time started = 0;
+        std::list<std::unique_ptr<Connection>> connections;
+        std::vector<PartCall> gathered;  // of this turn
+    };
+    struct Sent {
+        PartCall call;
+        std::string name;  // on the wire
+        Connection* on = nullptr;
+        Stage stage = Stage::kWaiting;
+        Time written = 0;
+        Time due = 0;  // when it must be looked at again
+    };
+
+    net::Task expire();
+    net::Task serve(Connection& connection);
+    void look_at(const SendKey& key, Time now);
+    void assign(Server& server, std::vector<PartCall> calls);
+    Connection* choose(Server& server, std::size_t parts);
+    Connection* open(Server& server);
+    bool read_frames(Connection& connection);
+    bool take_result(Connection& connection, std::string_view rest);
+    std::vector<double> read_report(std::string_view report) const;
+    void write_frames(Connection& connection);
+    void fill_frame(Connection& connection);
+    void frame_written(Connection& connection);
+    void drop_waiting(Connection& connection, const SendKey& key);
+    void give_up(const SendKey& key, Sent& sent);
+    void end_send(const SendKey& key, Outcome outcome, std::vector<double> load = {}, std::string value = {});
+    void set_due(const SendKey& key, Sent& sent, Time due);
+    void close(Connection& connection, Count cause);
+    void finish(Connection& connection);
+
+    net::Scheduler& scheduler_;
+    Exchange& exchange_;
+    Counters& counters_;
+    Log& log_;
+    const std::vector<std::string> report_fields_;
+    const std::size_t parts_per_call_;
+    const std::size_t streams_;
+    const Time connect_timeout_;
+    const Time idle_;
+    const std::size_t most_connections_;
+    std::size_t connections_ = 0;
+    std::size_t most_at_once_ = 0;
+    std::map<ServerId, Server> servers_;
+    std::vector<ServerId> gathered_;  // servers with calls of this turn
+    std::map<SendKey, Sent> sent_;
+    std::multimap<Time, SendKey> due_;
+    net::Waiter waiter_;
+    net::Task task_;
+};
+
+}  // namespace pinedoor::service
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "logic.hpp"
+#include "stated/stated.hpp"
 #include "wire/frame.hpp"
-#include "wire/stated.hpp"
 
 namespace {
 
@@ -16,7 +16,7 @@
 using pinedoor::FrontNode;
 using pinedoor::wire::BadInput;
 
-FrontNode start(const pinedoor::wire::Hello& hello, const pinedoor::wire::StatedText& stated) {
+FrontNode start(const pinedoor::wire::Hello& hello, const pinedoor::stated::Stated& stated) {
     return FrontNode(hello.seed, stated.node_place(), stated.op_types(), stated.shard_ring(),
                      stated.send_terms(), stated.further_send_terms(), stated.cold_terms(),
                      stated.list_terms(), stated.client_terms(), stated.tenants(), stated.hint_terms());
@@ -49,7 +49,7 @@
 private:
     static void take(int, Hosted& hosted, const pinedoor::wire::Hello& hello) {
         hosted = Hosted{};
-        const pinedoor::wire::StatedText stated(hello.settings);
+        const auto stated = pinedoor::stated::Stated::from_text(hello.settings);
         hosted.node = start(hello, stated);
         hosted.op_types = stated.op_types().size();
         hosted.called = true;
--- /dev/null
+++ b/src/stated/launch.cpp
@@ -0,0 +1,82 @@
+#include "stated/launch.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace pinedoor::stated {
+namespace {
+
+constexpr std::size_t kLargestFile = std::size_t{8} << 20U;
+constexpr double kLeastSockets = 32;
+constexpr double kLeastMemoryMb = 16;
+
+const parse::Json& member(const parse::Json& in, const std::string& path, const std::string& name) {
+    const auto* found = in.member(name);
+    if (found == nullptr) throw BadStated("configuration: " + path + " is missing");
+    return *found;
+}
+
+std::string text_of(const parse::Json& file, const std::string& name, const char* variable) {
+    if (variable != nullptr && *variable != '\0') return variable;
+    const auto* text = member(file, name, name).string();
+    if (text == nullptr || text->empty()) throw BadStated("configuration: " + name + " is no text");
+    return *text;
+}
+
+net::Endpoint endpoint_of(const parse::Json& file, const std::string& name, const char* variable) {
+    const auto text = text_of(file, name, variable);
+    const auto endpoint = net::parse_endpoint(text);
+    if (!endpoint) throw BadStated("configuration: " + name + " is no address and port: '" + text + "'");
+    return *endpoint;
+}
+
+double limit_of(const parse::Json& limits, const std::string& name, double least) {
+    const auto path = "limits." + name;
+    const auto* number = member(limits, path, name).number();
+    if (number == nullptr) throw BadStated("configuration: " + path + " is not a number");
+    if (number->value < least || number->value > 1e9) {
+        throw BadStated("configuration: " + path + " is out of range: " + number->text);
+    }
+    return number->value;
+}
+
+std::uint64_t seed_of(const parse::Json& file) {
+    const auto* text = member(file, "seed", "seed").string();
+    std::uint64_t seed = 0;
+    if (text != nullptr) {
+        const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), seed, 16);
+        if (error == std::errc{} && end == text->data() + text->size() && !text->empty()) return seed;
+    }
+    throw BadStated("configuration: seed is not 1 to 16 hex digits");
+}
+
+}  // namespace
+
+Launch Launch::read(const Variable& variable) {
+    const char* path = variable("ROUTER_CONFIG");
+    if (path == nullptr || *path == '\0') throw BadStated("ROUTER_CONFIG is not set");
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        throw BadStated(std::string("ROUTER_CONFIG: cannot read '") + path + "'");
+    }
+    try {
+        return Launch(parse::parse_json(text.str(), {kLargestFile, 32}), variable);
+    } catch (const parse::BadJson& error) {
+        throw BadStated(std::string("configuration: ") + error.what());
+    }
+}
+
+Launch::Launch(const parse::Json& file, const Variable& variable)
+    : name_(text_of(file, "name", variable("ROUTER_NAME"))),
+      listen_(endpoint_of(file, "listen", variable("ROUTER_LISTEN"))),
+      discovery_(endpoint_of(file, "discovery", variable("ROUTER_DISCOVERY"))), seed_(seed_of(file)),
+      known_(member(file, "known", "known")),
+      settings_(Stated::from_json(member(file, "settings", "settings"))) {
+    const auto& limits = member(file, "limits", "limits");
+    sockets_ = static_cast<std::size_t>(limit_of(limits, "sockets", kLeastSockets));
+    memory_ = static_cast<std::size_t>(limit_of(limits, "memory_mb", kLeastMemoryMb) * (1 << 20));
+}
+
+}  // namespace pinedoor::stated
--- /dev/null
+++ b/src/stated/launch.hpp
@@ -0,0 +1,42 @@
+// What a front node is told at its start: the file that ROUTER_CONFIG names, and the variables beside it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "net/socket.hpp"
+#include "parse/json.hpp"
+#include "stated/stated.hpp"
+
+namespace pinedoor::stated {
+
+// Every key is checked here, at once; a fault throws BadStated, whose text names the key.
+class Launch {
+public:
+    using Variable = std::function<const char*(const char* name)>;  // null: not set
+
+    static Launch read(const Variable& variable);
+    Launch(const parse::Json& file, const Variable& variable);
+
+    const std::string& name() const { return name_; }
+    net::Endpoint listen() const { return listen_; }
+    net::Endpoint discovery() const { return discovery_; }
+    std::uint64_t seed() const { return seed_; }
+    std::size_t sockets() const { return sockets_; }  // descriptors this process may hold
+    std::size_t memory() const { return memory_; }    // bytes
+    const parse::Json& known() const { return known_; }
+    const Stated& settings() const { return settings_; }
+
+private:
+    std::string name_;
+    net::Endpoint listen_;
+    net::Endpoint discovery_;
+    std::uint64_t seed_ = 0;
+    std::size_t sockets_ = 0;
+    std::size_t memory_ = 0;
+    parse::Json known_;
+    Stated settings_;
+};
+
+}  // namespace pinedoor::stated
--- a/src/wire/stated.cpp
+++ b/src/stated/stated.cpp
@@ -1,12 +1,10 @@
-#include "wire/stated.hpp"
+#include "stated/stated.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 
-#include "wire/frame.hpp"
-
-namespace pinedoor::wire {
+namespace pinedoor::stated {
 namespace {
 
 constexpr double kMostMs = 1e9;
@@ -16,15 +14,16 @@
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) {
-        throw BadInput("settings: " + path + " is not a number: '" + text + "'");
+        throw BadStated("settings: " + path + " is not a number: '" + text + "'");
     }
-    if (value < least || value > most) throw BadInput("settings: " + path + " is out of range: " + text);
+    if (value < least || value > most) throw BadStated("settings: " + path + " is out of range: " + text);
     return value;
 }
 
 }  // namespace
 
-StatedText::StatedText(std::string_view text) {
+Stated Stated::from_text(std::string_view text) {
+    Stated stated;
     while (!text.empty()) {
         const auto end = std::min(text.find('\n'), text.size());
         const auto line = text.substr(0, end);
@@ -32,49 +31,84 @@
         if (line.empty()) continue;
         const auto split = line.find('=');
         if (split == std::string_view::npos) {
-            throw BadInput("settings: line without '=': '" + std::string(line.substr(0, 80)) + "'");
+            throw BadStated("settings: line without '=': '" + std::string(line.substr(0, 80)) + "'");
+        }
+        stated.values_.insert_or_assign(std::string(line.substr(0, split)), std::string(line.substr(split + 1)));
+    }
+    return stated;
+}
+
+Stated Stated::from_json(const parse::Json& settings) {
+    if (settings.members() == nullptr) throw BadStated("settings: no object");
+    Stated stated;
+    stated.flatten("", settings);
+    return stated;
+}
+
+// Nested JSON takes the form of the simulator's text: lists of plain values are joined by commas, lists of objects
+// get a count, and names are the path to a value.
+void Stated::flatten(const std::string& path, const parse::Json& value) {
+    if (const auto* members = value.members()) {
+        for (const auto& [name, member] : *members) flatten(path.empty() ? name : path + '.' + name, member);
+    } else if (const auto* list = value.list()) {
+        std::string joined;
+        for (std::size_t i = 0; i < list->size(); ++i) {
+            const auto& item = (*list)[i];
+            const auto at = path + '.' + std::to_string(i);
+            flatten(at, item);
+            if (item.members() != nullptr || item.list() != nullptr) continue;
+            auto text = values_[at];
+            std::replace(text.begin(), text.end(), ',', '_');
+            joined += (i > 0 ? "," : "") + text;
         }
-        values_.insert_or_assign(std::string(line.substr(0, split)), std::string(line.substr(split + 1)));
+        values_[path] = joined;
+        values_[path + ".count"] = std::to_string(list->size());
+    } else if (const auto* number = value.number()) {
+        values_[path] = number->text;
+    } else if (const auto* text = value.string()) {
+        values_[path] = *text;
+    } else if (const auto* truth = value.boolean()) {
+        values_[path] = *truth ? "true" : "false";
     }
 }
 
-const std::string* StatedText::find(const std::string& path) const {
+const std::string* Stated::find(const std::string& path) const {
     const auto it = values_.find(path);
     return it == values_.end() ? nullptr : &it->second;
 }
 
-const std::string& StatedText::text(const std::string& path) const {
+const std::string& Stated::text(const std::string& path) const {
     const auto* value = find(path);
-    if (value == nullptr) throw BadInput("settings: " + path + " is missing");
+    if (value == nullptr) throw BadStated("settings: " + path + " is missing");
     return *value;
 }
 
-double StatedText::number(const std::string& path, double least, double most) const {
+double Stated::number(const std::string& path, double least, double most) const {
     return to_number(path, text(path), least, most);
 }
 
-double StatedText::number_or(const std::string& path, double least, double most, double otherwise) const {
+double Stated::number_or(const std::string& path, double least, double most, double otherwise) const {
     return find(path) == nullptr ? otherwise : number(path, least, most);
 }
 
-int StatedText::whole(const std::string& path, int least, int most) const {
+int Stated::whole(const std::string& path, int least, int most) const {
     const double value = number(path, least, most);
-    if (value != std::floor(value)) throw BadInput("settings: " + path + " is not a whole number");
+    if (value != std::floor(value)) throw BadStated("settings: " + path + " is not a whole number");
     return static_cast<int>(value);
 }
 
-Time StatedText::time(const std::string& path) const {
+Time Stated::time(const std::string& path) const {
     return static_cast<Time>(std::llround(number(path, 0, kMostMs) * 10));
 }
 
-bool StatedText::flag(const std::string& path) const {
+bool Stated::flag(const std::string& path) const {
     const auto& value = text(path);
     if (value == "true") return true;
     if (value == "false") return false;
-    throw BadInput("settings: " + path + " is neither true nor false: '" + value + "'");
+    throw BadStated("settings: " + path + " is neither true nor false: '" + value + "'");
 }
 
-std::vector<std::string> StatedText::list(const std::string& path) const {
+std::vector<std::string> Stated::list(const std::string& path) const {
     std::vector<std::string> items;
     std::string_view rest = text(path);
     while (!rest.empty()) {
@@ -85,13 +119,13 @@
     return items;
 }
 
-double StatedText::list_number(const std::string& path, std::size_t i, double least, double most) const {
+double Stated::list_number(const std::string& path, std::size_t i, double least, double most) const {
     const auto items = list(path);
-    if (i >= items.size()) throw BadInput("settings: " + path + " has too few values");
+    if (i >= items.size()) throw BadStated("settings: " + path + " has too few values");
     return to_number(path, items[i], least, most);
 }
 
-NodePlace StatedText::node_place() const {
+NodePlace Stated::node_place() const {
     NodePlace place;
     place.me = whole("me", 0, kMost);
     place.front_nodes = whole("siblings", 1, kMost);
@@ -100,7 +134,7 @@
     return place;
 }
 
-std::vector<OpType> StatedText::op_types() const {
+std::vector<OpType> Stated::op_types() const {
     std::vector<OpType> types(static_cast<std::size_t>(whole("classes.count", 0, 10'000)));
     for (std::size_t i = 0; i < types.size(); ++i) {
         const std::string at = "classes." + std::to_string(i) + ".";
@@ -114,7 +148,7 @@
             type.repeat = Repeat::kDeduped;
             type.dedup_window = time(at + "memory_span_ms");
         } else if (effect != "single_shot") {
-            throw BadInput("settings: " + at + "effect is unknown: '" + effect + "'");
+            throw BadStated("settings: " + at + "effect is unknown: '" + effect + "'");
         }
         type.importance = number(at + "worth", 0, 1e9);
         type.late_importance = number(at + "late_worth", 0, 1);
@@ -126,7 +160,7 @@
     return types;
 }
 
-ShardRing StatedText::shard_ring() const {
+ShardRing Stated::shard_ring() const {
     ShardRing ring;
     ring.places = whole("family_info.places", 1, kMost);
     ring.width = whole("family_info.width", 1, ring.places);
@@ -135,7 +169,7 @@
     return ring;
 }
 
-SendTerms StatedText::send_terms() const {
+SendTerms Stated::send_terms() const {
     SendTerms terms;
     terms.most_sends = whole("limits.max_attempts", 1, kMost);
     terms.second_copies = flag("limits.second_copies");
@@ -144,7 +178,7 @@
     return terms;
 }
 
-FurtherSendTerms StatedText::further_send_terms() const {
+FurtherSendTerms Stated::further_send_terms() const {
     FurtherSendTerms terms;
     if (find("rules.look_back_ms") == nullptr) return terms;
     terms.look_back = time("rules.look_back_ms");
@@ -153,7 +187,7 @@
     return terms;
 }
 
-ColdTerms StatedText::cold_terms() const {
+ColdTerms Stated::cold_terms() const {
     ColdTerms terms;
     terms.from = number("rules.cold_from", 0, 1);
     terms.warm_after = time("rules.warm_after_ms");
@@ -162,11 +196,11 @@
     return terms;
 }
 
-ListTerms StatedText::list_terms() const {
+ListTerms Stated::list_terms() const {
     ListTerms terms;
     const auto& mode = text("discovery");
     if (mode != "on_request" && mode != "pushed") {
-        throw BadInput("settings: discovery is unknown: '" + mode + "'");
+        throw BadStated("settings: discovery is unknown: '" + mode + "'");
     }
     terms.ask = mode == "on_request";
     if (terms.ask) terms.must_ask_in = time("rules.must_ask_in_ms");
@@ -174,7 +208,7 @@
     return terms;
 }
 
-ClientTerms StatedText::client_terms() const {
+ClientTerms Stated::client_terms() const {
     ClientTerms terms;
     terms.retry_after = flag("limits.retry_after");
     terms.longest_retry_after = time("limits.max_retry_after_ms");
@@ -183,7 +217,7 @@
     return terms;
 }
 
-std::vector<TenantShare> StatedText::tenants() const {
+std::vector<TenantShare> Stated::tenants() const {
     std::vector<TenantShare> tenants;
     if (find("parties.count") == nullptr) return tenants;
     tenants.resize(static_cast<std::size_t>(whole("parties.count", 0, 100'000)));
@@ -193,7 +227,7 @@
     return tenants;
 }
 
-HintTerms StatedText::hint_terms() const {
+HintTerms Stated::hint_terms() const {
     HintTerms terms;
     terms.probes = flag("limits.probes");
     terms.peers = flag("limits.peers");
@@ -207,4 +241,27 @@
     return terms;
 }
 
-}  // namespace pinedoor::wire
+std::vector<std::string> Stated::op_type_names() const {
+    std::vector<std::string> names(static_cast<std::size_t>(whole("classes.count", 0, 10'000)));
+    for (std::size_t i = 0; i < names.size(); ++i) names[i] = text("classes." + std::to_string(i) + ".name");
+    return names;
+}
+
+std::vector<std::string> Stated::tenant_names() const {
+    std::vector<std::string> names(tenants().size());
+    for (std::size_t i = 0; i < names.size(); ++i) names[i] = text("parties." + std::to_string(i) + ".name");
+    return names;
+}
+
+std::vector<std::string> Stated::zone_names() const { return list("failure_domains"); }
+
+std::vector<std::string> Stated::report_fields() const {
+    return find("load_info.fields") == nullptr ? std::vector<std::string>{} : list("load_info.fields");
+}
+
+int Stated::shards() const { return whole("family_info.shards", 1, kMost); }
+int Stated::most_open() const { return whole("limits.max_open", 1, kMost); }
+int Stated::streams_per_connection() const { return whole("limits.streams_per_conn", 1, kMost); }
+Time Stated::connection_idle() const { return time("limits.conn_idle_ms"); }
+
+}  // namespace pinedoor::stated
--- a/src/wire/stated.hpp
+++ b/src/stated/stated.hpp
@@ -1,19 +1,27 @@
-// Reads the settings text (path=value lines) and hands out each group of stated figures.
+// Reads what is stated, as the simulator's text (path=value lines) or as JSON, and hands out each group of figures.
 #pragma once
 
+#include <cstddef>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "logic.hpp"
+#include "parse/json.hpp"
 
-namespace pinedoor::wire {
+namespace pinedoor::stated {
+
+struct BadStated : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
 
 // Every path that is asked for must hold a value of its kind; paths that nobody asks for are ignored.
-class StatedText {
+class Stated {
 public:
-    explicit StatedText(std::string_view text);
+    static Stated from_text(std::string_view text);
+    static Stated from_json(const parse::Json& settings);
 
     NodePlace node_place() const;
     std::vector<OpType> op_types() const;
@@ -26,7 +34,18 @@
     std::vector<TenantShare> tenants() const;
     HintTerms hint_terms() const;
 
+    // What only the sockets need.
+    std::vector<std::string> op_type_names() const;
+    std::vector<std::string> tenant_names() const;
+    std::vector<std::string> zone_names() const;
+    std::vector<std::string> report_fields() const;
+    int shards() const;
+    int most_open() const;  // multigets and parts together
+    int streams_per_connection() const;
+    Time connection_idle() const;
+
 private:
+    void flatten(const std::string& path, const parse::Json& value);
     const std::string* find(const std::string& path) const;
     const std::string& text(const std::string& path) const;
     double number(const std::string& path, double least, double most) const;
@@ -40,4 +59,4 @@
     std::map<std::string, std::string, std::less<>> values_;
 };
 
-}  // namespace pinedoor::wire
+}  // namespace pinedoor::stated
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -3,8 +3,8 @@
 #include <sstream>
 #include <string>
 
+#include "stated/stated.hpp"
 #include "wire/frame.hpp"
-#include "wire/stated.hpp"
 
 namespace {
 
@@ -110,13 +110,13 @@
 }
 
 TEST_CASE("settings text: unknown keys are passed over, bad values are named") {
-    CHECK(wire::StatedText("family_info.places=12\nfamily_info.width=3\nfamily_info.per_call=8\n"
+    CHECK(stated::Stated::from_text("family_info.places=12\nfamily_info.width=3\nfamily_info.per_call=8\n"
                            "family_info.overhead_ms=45.0\nwhat.is.this=x\n")
               .shard_ring()
               .call_cost == 45'0);
-    CHECK_THROWS_WITH(wire::StatedText("me=x").node_place(), "settings: me is not a number: 'x'");
-    CHECK_THROWS_WITH(wire::StatedText("").node_place(), "settings: me is missing");
-    CHECK_THROWS_WITH(wire::StatedText("discovery=maybe").list_terms(),
+    CHECK_THROWS_WITH(stated::Stated::from_text("me=x").node_place(), "settings: me is not a number: 'x'");
+    CHECK_THROWS_WITH(stated::Stated::from_text("").node_place(), "settings: me is missing");
+    CHECK_THROWS_WITH(stated::Stated::from_text("discovery=maybe").list_terms(),
                       "settings: discovery is unknown: 'maybe'");
 }
 
