--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,206 @@
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include "net/stream.hpp"
+
+namespace {
+
+using namespace pinedoor::net;
+
+struct Pair {
+    Fd near, far;
+    Pair() {
+        int fds[2];
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds) == 0);
+        near = Fd(fds[0]);
+        far = Fd(fds[1]);
+    }
+};
+
+// Writes a letter at each step of a wait, and one when its frame goes.
+struct Trace {
+    std::string& out;
+    ~Trace() { out += '~'; }
+};
+
+Task wait_once(Waiter& waiter, unsigned interest, Moment until, std::string& out) {
+    const Trace trace{out};
+    out += 'a';
+    co_await waiter.wait(interest, until);
+    out += 'b';
+}
+
+Task throw_after(Waiter& waiter) {
+    co_await waiter.wait(0);
+    throw std::runtime_error("thrown");
+}
+
+// Runs as many rounds as asked for; each is woken at once.
+void rounds(Scheduler& scheduler, int count) {
+    scheduler.run([&] {
+        scheduler.defer([] {});
+        return count-- == 0;
+    });
+}
+
+TEST_CASE("a signal before the wait is not lost, and none is kept for the wait after") {
+    Scheduler scheduler;
+    Waiter waiter(scheduler);
+    std::string out;
+    waiter.signal();
+    waiter.signal();
+    auto first = wait_once(waiter, 0, kNever, out);
+    first.start({});
+    rounds(scheduler, 2);
+    CHECK(out == "ab~");
+    auto second = wait_once(waiter, 0, kNever, out);
+    second.start({});
+    rounds(scheduler, 3);
+    CHECK(out == "ab~a");
+}
+
+TEST_CASE("a wait ends by its time") {
+    Scheduler scheduler;
+    Waiter waiter(scheduler);
+    std::string out;
+    auto task = wait_once(waiter, 0, scheduler.now() + 20, out);
+    task.start({});
+    scheduler.run([&] { return task.done(); });
+    CHECK(out == "ab~");
+}
+
+TEST_CASE("bytes that come, room to write and a close are told as asked") {
+    Scheduler scheduler;
+    Pair pair;
+    Stream stream(scheduler, std::move(pair.near));
+    std::string out;
+    auto reading = wait_once(stream.waiter(), kRead, kNever, out);
+    reading.start({});
+    rounds(scheduler, 3);
+    CHECK(out == "a");
+    REQUIRE(write(pair.far.get(), "x", 1) == 1);
+    rounds(scheduler, 3);
+    CHECK(out == "ab~");
+    CHECK(stream.read() == Stream::Got::kBytes);
+    CHECK(stream.read() == Stream::Got::kNothing);
+    CHECK_FALSE(stream.waiter().may(kRead));
+    CHECK(stream.waiter().may(kWrite));
+    auto closing = wait_once(stream.waiter(), kClosed, kNever, out);
+    closing.start({});
+    pair.far = Fd{};
+    rounds(scheduler, 3);
+    CHECK(out == "ab~ab~");
+    CHECK(stream.read() == Stream::Got::kEnd);
+}
+
+TEST_CASE("a coroutine whose task goes is never resumed, wherever it waits") {
+    Scheduler scheduler;
+    Pair pair;
+    Stream stream(scheduler, std::move(pair.near));
+    std::string out;
+    SUBCASE("on its descriptor") {
+        {
+            auto task = wait_once(stream.waiter(), kRead, kNever, out);
+            task.start({});
+        }
+        REQUIRE(write(pair.far.get(), "x", 1) == 1);
+    }
+    SUBCASE("on its time") {
+        auto task = wait_once(stream.waiter(), 0, scheduler.now() + 1, out);
+        task.start({});
+        task = Task{};
+    }
+    SUBCASE("queued to be resumed") {
+        auto task = wait_once(stream.waiter(), 0, kNever, out);
+        task.start({});
+        stream.waiter().signal();
+        task = Task{};
+    }
+    SUBCASE("before its start") { wait_once(stream.waiter(), 0, kNever, out); }
+    rounds(scheduler, 3);
+    CHECK((out == "a~" || out.empty()));
+}
+
+TEST_CASE("a coroutine whose waiter goes first stays suspended until its task goes") {
+    Scheduler scheduler;
+    std::string out;
+    {
+        auto waiter = std::make_unique<Waiter>(scheduler);
+        auto task = wait_once(*waiter, 0, scheduler.now() + 1, out);
+        task.start({});
+        SUBCASE("while it waits") {}
+        SUBCASE("while it is queued") { waiter->signal(); }
+        waiter.reset();
+        rounds(scheduler, 3);
+        CHECK(out == "a");
+    }
+    CHECK(out == "a~");
+}
+
+TEST_CASE("a wake-up meant for one that went does not reach who has its place") {
+    Scheduler scheduler;
+    std::string out;
+    auto old = std::make_unique<Waiter>(scheduler);
+    auto old_task = wait_once(*old, 0, kNever, out);
+    old_task.start({});
+    old->signal();  // queued under the old generation of the slot
+    old.reset();
+    Waiter successor(scheduler);
+    auto task = wait_once(successor, 0, kNever, out);
+    task.start({});
+    rounds(scheduler, 3);
+    CHECK(out == "aa");
+}
+
+TEST_CASE("a throw ends its task, is told, and leaves the others alone") {
+    Scheduler scheduler;
+    Waiter waiter(scheduler);
+    Waiter other(scheduler);
+    std::string out;
+    std::exception_ptr told;
+    auto task = throw_after(waiter);
+    task.start([&](std::exception_ptr failure) { told = failure; });
+    auto bystander = wait_once(other, 0, kNever, out);
+    bystander.start({});
+    waiter.signal();
+    rounds(scheduler, 2);
+    CHECK(task.done());
+    CHECK_THROWS_WITH(std::rethrow_exception(told), "thrown");
+    other.signal();
+    rounds(scheduler, 2);
+    CHECK(out == "ab~");
+}
+
+TEST_CASE("a buffer keeps what was not used, however it grows and is compacted") {
+    Buffer buffer;
+    std::string sent, got;
+    for (int i = 0; i < 400; ++i) {
+        const auto room = buffer.room();
+        const std::string piece(37, static_cast<char>('a' + i % 26));
+        std::copy(piece.begin(), piece.end(), room.begin());
+        buffer.filled(piece.size());
+        sent += piece;
+        const auto take = i % 3 == 0 ? std::min<std::size_t>(50, buffer.held().size()) : 0;
+        got += buffer.held().substr(0, take);
+        buffer.drop(take);
+    }
+    got += buffer.held();
+    CHECK(got == sent);
+}
+
+TEST_CASE("addresses are read and written") {
+    CHECK(parse_endpoint("127.9.1.2:7070") == Endpoint{0x7f090102, 7070});
+    CHECK(to_text({0x7f090102, 7070}) == "127.9.1.2:7070");
+    for (const char* text : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:70707", "127.0.0:1", "host:1",
+                             "127.0.0.1:1x"}) {
+        CAPTURE(text);
+        CHECK_FALSE(parse_endpoint(text));
+    }
+}
+
+}  // namespace
