--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <charconv>
-#include <cmath>
 
 namespace pinedoor::parse {
 namespace {
@@ -188,8 +187,8 @@
     if (text == "null") return put(Json());
     if (!is_number(text)) reject("an unknown word");
     double value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    if (!std::isfinite(value)) reject("a number out of range");
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{}) reject("a number out of range");
     put(Json(Json::Number{value, std::move(text)}));
 }
 
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -191,7 +191,7 @@
     if (request.state() != parse::HttpReader::State::kDone) return bad(408, "the request did not come whole");
     const std::string_view path = std::string_view(request.target()).substr(0, request.target().find('?'));
     if (request.method() == "POST") return ask(connection, request, arrived);
-    if (request.method() != "GET" && request.method() != "HEAD") return bad(405, "no such method here");
+    if (request.method() != "GET") return bad(405, "no such method here");
     if (path == "/up") return Reply{200, "Content-Type: text/plain\r\n", "up\n"};
     if (path == "/counters") return Reply{200, "Content-Type: text/plain\r\n", print_counters_()};
     return bad(404, "nothing here");
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -7,7 +7,7 @@
 
 Exchange::Exchange(net::Scheduler& scheduler, FrontNode node, Time turn, int most_open, int most_sends,
                    Counters& counters, Log& log)
-    : scheduler_(scheduler), node_(std::move(node)), turn_(turn),
+    : scheduler_(scheduler), node_(std::move(node)), turn_(std::max<Time>(1, turn)),
       most_open_(static_cast<std::size_t>(most_open)), most_sends_(most_sends), counters_(counters),
       log_(log), waiter_(scheduler) {}
 
@@ -67,6 +67,7 @@
 std::pair<Exchange::Asked, Id> Exchange::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
     if (multigets_.size() + parts_.size() + 1 + asked.parts.size() > most_open_) {
         counters_.add(Count::kNoRoom);
+        log_.line("no room: " + std::to_string(multigets_.size() + parts_.size()) + " open");
         return {Asked::kNoRoom, 0};
     }
     // Guards the names of parts: two multigets of one name would share them at the index servers.
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -38,8 +38,10 @@
     server.state = state;
     server.started = started;
     for (auto& connection : server.connections) {
+        connection->retired = connection->retired || moved;
         // A connection older than its server's process cannot live, though nothing may ever say so.
-        if (moved || (connection->up && connection->opened < started)) close(*connection, Count::kClosedRestarted);
+        if (std::max(connection->opened, connection->read) < started) close(*connection, Count::kClosedRestarted);
+        connection->stream.waiter().signal();
     }
 }
 
@@ -95,7 +97,7 @@
     Connection* least = nullptr;
     const Time now = scheduler_.now();
     for (auto& connection : server.connections) {
-        if (connection->ending || connection->doubted) continue;
+        if (connection->ending || connection->doubted || connection->retired) continue;
         if (!connection->up && now - connection->opened >= connect_timeout_) continue;
         if (!connection->busy() && now - connection->used >= idle_) continue;
         if (least == nullptr || connection->load() < least->load()) least = connection.get();
@@ -147,6 +149,7 @@
         if (scheduler_.now() >= idle_at) close(connection, Count::kClosedIdle);
         // Nothing is out on it any more, and it has said nothing since the last send timed out.
         if (connection.doubted && !connection.busy()) close(connection, Count::kClosedDoubted);
+        if (connection.retired && !connection.busy()) close(connection, Count::kClosedIdle);
         if (connection.ending) break;
         co_await waiter.wait(net::kRead | (writing ? net::kWrite : 0U), idle_at);
     }
@@ -287,7 +290,7 @@
         drop_waiting(*sent.on, key);
         return end_send(key, Outcome::kNeverSent);
     }
-    give_up(key, sent);
+    give_up(sent);
     end_send(key, Outcome::kCancelled);
 }
 
@@ -299,8 +302,12 @@
     }
 }
 
-void ServerSide::give_up(const SendKey&, Sent& sent) {
+void ServerSide::give_up(Sent& sent) {
     auto& connection = *sent.on;
+    // Whoever gave it up first, the module or the clock: it was out for as long as a new connection may take, and the
+    // connection said nothing. The next part asks a new one, which tells a machine that is gone from one that is slow.
+    const bool silent = sent.stage == Stage::kWriting || connection.read < sent.written;
+    if (silent && scheduler_.now() - sent.call.sent >= connect_timeout_) connection.doubted = true;
     auto frame = parse::begin_frame('C');
     frame += sent.name;
     parse::end_frame(frame);
@@ -310,7 +317,7 @@
     connection.stream.waiter().signal();
 }
 
-void ServerSide::end_send(const SendKey& key, Outcome outcome, std::vector<double> load, std::string value) {
+void ServerSide::end_send(SendKey key, Outcome outcome, std::vector<double> load, std::string value) {
     const auto at = sent_.find(key);
     assert(at != sent_.end());
     auto& sent = at->second;
@@ -368,8 +375,7 @@
             if (!ran_out) return set_due(key, sent, sent.call.until);
             [[fallthrough]];
         case Stage::kOut:
-            if (connection.read < sent.written || sent.stage == Stage::kWriting) connection.doubted = true;
-            give_up(key, sent);
+            give_up(sent);
             return end_send(key, Outcome::kTimedOut);
     }
 }
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -54,7 +54,8 @@
         std::size_t sends = 0;  // in all three stages
         bool up = false;
         bool ending = false;
-        bool doubted = false;  // a send timed out here, and nothing has been read since it was written
+        bool doubted = false;  // a send was given up here, and nothing has been read since it was written
+        bool retired = false;  // the server is listed at another address now
         Count cause = Count::kClosedByServer;
         Time opened = 0;
         Time used = 0;  // when last read from or written to
@@ -90,8 +91,9 @@
     void fill_frame(Connection& connection);
     void frame_written(Connection& connection);
     void drop_waiting(Connection& connection, const SendKey& key);
-    void give_up(const SendKey& key, Sent& sent);
-    void end_send(const SendKey& key, Outcome outcome, std::vector<double> load = {}, std::string value = {});
+    void give_up(Sent& sent);
+    // By value: the key may stand in what is erased here.
+    void end_send(SendKey key, Outcome outcome, std::vector<double> load = {}, std::string value = {});
     void set_due(const SendKey& key, Sent& sent, Time due);
     void close(Connection& connection, Count cause);
     void finish(Connection& connection);
--- a/tests/parse_test.cpp
+++ b/tests/parse_test.cpp
@@ -133,7 +133,7 @@
 }
 
 TEST_CASE("JSON that is malformed, deep or long is refused where it goes wrong") {
-    for (const char* text : {"", "{", "[1,]", "{\"a\"}", "{\"a\":1,}", "[1 2]", "{1:2}", "]", "[}", "01", "1.", "-",
+    for (const std::string text : {"", "{", "[1,]", "{\"a\"}", "{\"a\":1,}", "[1 2]", "{1:2}", "]", "[}", "01", "1.", "-",
                              "+1", ".5", "1e", "nul", "True", "\"a", "\"\\x\"", "\"\\u12g4\"", "\"\\ud800\"",
                              "\"\\udc00\"", "\"\\ud800x\"", "\"\t\"", "1e999", "[1]2", "{\"a\":1 \"b\":2}",
                              "{\"a\":1,\"a\":2}", "'a'", "\"\\ud800\\n\""}) {
@@ -154,16 +154,16 @@
 }
 
 TEST_CASE("frames are read from any pieces, and impossible lengths are refused") {
-    const std::string bytes = std::string("\x08\0\0\0Rid d -", 12) + "next";
-    for (std::size_t size = 0; size < 12; ++size) {
+    const std::string bytes = std::string("\x07\0\0\0Rid d -", 11) + "next";
+    for (std::size_t size = 0; size < 11; ++size) {
         CHECK(scan_frame(std::string_view(bytes).substr(0, size), 100).state == FrameScan::State::kMore);
     }
     const auto frame = scan_frame(bytes, 100);
     CHECK(frame.state == FrameScan::State::kFrame);
     CHECK(frame.letter == 'R');
     CHECK(frame.rest == "id d -");
-    CHECK(frame.size == 12);
-    CHECK(scan_frame(bytes, 7).state == FrameScan::State::kBad);
+    CHECK(frame.size == 11);
+    CHECK(scan_frame(bytes, 6).state == FrameScan::State::kBad);
     CHECK(scan_frame(std::string_view("\0\0\0\0R", 5), 100).state == FrameScan::State::kBad);
     CHECK(scan_frame("\xff\xff\xff\xff", 100).state == FrameScan::State::kBad);
 }
@@ -189,7 +189,7 @@
     append_part(frame, "9b1f03aa5c7e2d41.3", 3, 240, "c41e77d0");
     append_part(frame, "x.9", 9, 1, "");
     end_frame(frame);
-    CHECK(frame == std::string("\x30\0\0\0", 4) + "S9b1f03aa5c7e2d41.3 3 d=240 8\nc41e77d0x.9 9 d=1 0\n");
+    CHECK(frame == std::string("\x32\0\0\0", 4) + "S9b1f03aa5c7e2d41.3 3 d=240 8\nc41e77d0x.9 9 d=1 0\n");
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/service_test.cpp
@@ -0,0 +1,312 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "stand_ins.hpp"
+
+namespace {
+
+using namespace pinedoor::test;
+
+// One index server and a discovery that is never asked in time; the program is started by go().
+struct OneServer {
+    Listener server;
+    Listener discovery;
+    Program program{{{"s-1", server.at()}}, discovery.at()};
+    Peer client;
+    Peer link;  // of the server, once it was sent something
+
+    void go() { client = program.start().client(); }
+    // Asks and takes the call at the server.
+    std::string ask(const std::string& op_type, const std::string& name, const std::vector<int>& shards) {
+        client.say(post(op_type, name, asks(shards)));
+        link = server.accept();
+        return link.frame();
+    }
+};
+
+TEST_CASE("a multiget is sent in calls, and its values come back unchanged on a connection that stays open") {
+    OneServer one;
+    one.go();
+    one.client.say("GET /up HTTP/1.1\r\n\r\n");
+    CHECK(one.client.answer() == "200 up\n");
+    const auto request = post("again", "t1", asks({3, 4, 5}, "l\\u00e4nge\\n"));
+    for (const char c : request) one.client.say({&c, 1});
+    one.link = one.server.accept();
+    CHECK(one.link.frame() == "St1.3 3 7\nl\u00e4nge\nt1.4 4 7\nl\u00e4nge\n");
+    CHECK(one.link.frame() == "St1.5 5 7\nl\u00e4nge\n");
+    one.link.reply("t1.5", "done", "five");
+    one.link.reply("t1.3", "done", "a \"quoted\" \\ value\n");
+    one.link.reply("t1.4", "done");
+    CHECK(one.client.answer() == R"(200 {"whole":true,"results":[{"partition":3,"value":"a \"quoted\" \\ value\u000a"},)"
+                                 R"({"partition":4,"value":""},{"partition":5,"value":"five"}]})");
+    one.client.say(post("once", "t2", asks({7})));
+    CHECK(one.link.frame() == "St2.7 7 1\nq");
+    one.link.reply("t2.7", "done", "x");
+    CHECK(one.client.answer() == R"(200 {"whole":true,"results":[{"partition":7,"value":"x"}]})");
+    CHECK(one.program.counter("connections_opened") == 1);
+    CHECK(one.program.counter("multigets_answered_whole") == 2);
+    CHECK(one.program.counter("sends_returned") == 4);
+    CHECK(one.program.counter("calls") == 3);
+    CHECK(one.program.counter("invariants_broken") == 0);
+}
+
+TEST_CASE("an answer in part holds only what is in, and is not marked whole") {
+    OneServer one;
+    one.go();
+    CHECK(one.ask("again", "t", {1, 2}) == "St.1 1 1\nqt.2 2 1\nq");
+    one.link.reply("t.1", "failed");
+    one.link.reply("t.2", "done", "two");
+    CHECK(one.client.answer() == R"(200 {"whole":false,"results":[{"partition":2,"value":"two"}]})");
+}
+
+TEST_CASE("what has surely not run is pushed back, what may have run has failed") {
+    OneServer one;
+    one.go();
+    SUBCASE("full") {
+        one.ask("once", "t", {1});
+        one.link.reply("t.1", "full");
+        CHECK(one.client.answer() == "503 retry-after=1.2500");
+    }
+    SUBCASE("failed") {
+        one.ask("once", "t", {1});
+        one.link.reply("t.1", "failed");
+        CHECK(one.client.answer() == "500");
+    }
+    SUBCASE("reset") {
+        one.ask("once", "t", {1});
+        one.link.reset();
+        CHECK(one.client.answer() == "500");
+        CHECK(one.program.counter("sends_reset") == 1);
+    }
+    SUBCASE("closed") {
+        one.ask("once", "t", {1});
+        one.link = Peer{};
+        CHECK(one.client.answer() == "500");
+    }
+    SUBCASE("no connection") {
+        one.server.close();
+        one.client.say(post("once", "t", asks({1})));
+        CHECK(one.client.answer() == "503 retry-after=1.2500");
+        CHECK(one.program.counter("sends_no_connection") == 1);
+    }
+}
+
+TEST_CASE("an index server that breaks the protocol loses its connection, and its sends get their outcomes") {
+    OneServer one;
+    one.go();
+    one.ask("once", "t", {1});
+    SUBCASE("an id that nobody sent") { one.link.reply("t.2", "done", "x"); }
+    SUBCASE("an unknown letter") { one.link.say_frame("Zwhat"); }
+    SUBCASE("a complaint") { one.link.say_frame("Fno"); }
+    SUBCASE("an unknown end") { one.link.reply("t.1", "perhaps"); }
+    SUBCASE("an impossible length") { one.link.say(std::string("\xff\xff\xff\x7f" "R", 5)); }
+    SUBCASE("no length") { one.link.say(std::string(8, '\0')); }
+    CHECK(one.client.answer() == "500");
+    CHECK(one.link.ended());
+    CHECK(one.program.counter("bad_frames") == 1);
+    CHECK(one.program.counter("sends_reset") == 1);
+}
+
+TEST_CASE("a frame cut short by the end of the connection is no answer") {
+    OneServer one;
+    one.go();
+    one.ask("once", "t", {1});
+    one.link.say(std::string("\x20\0\0\0Rt.1 done", 13));
+    one.link = Peer{};
+    CHECK(one.client.answer() == "500");
+}
+
+TEST_CASE("a client that goes away takes its sends with it") {
+    OneServer one;
+    one.go();
+    one.ask("again", "t", {1});
+    one.client = Peer{};
+    CHECK(one.link.frame() == "Ct.1");
+    CHECK(one.program.counter_at("clients_gone", 1) == 1);
+    one.link.reply("t.1", "done", "late");
+    CHECK(one.program.counter_at("late_results", 1) == 1);
+    CHECK(one.program.counter("open_parts") == 0);
+}
+
+TEST_CASE("a late value reaches no other multiget, and a silent connection takes nothing new") {
+    OneServer one;
+    one.go();
+    one.client.say(post("again", "t1", asks({1}), 300));
+    one.link = one.server.accept();
+    CHECK(one.link.frame() == "St1.1 1 1\nq");
+    CHECK(one.client.answer() == "503 retry-after=1.2500");
+    CHECK(one.link.frame() == "Ct1.1");
+    auto old_link = std::move(one.link);
+    CHECK(one.ask("again", "t2", {1}) == "St2.1 1 1\nq");  // on a new connection
+    CHECK(old_link.ended());
+    one.link.reply("t2.1", "done", "new");
+    CHECK(one.client.answer() == R"(200 {"whole":true,"results":[{"partition":1,"value":"new"}]})");
+}
+
+TEST_CASE("bad requests get a plain answer, and the next ones are served") {
+    OneServer one;
+    one.program.with("\"max_open\":40", "\"max_open\":4");
+    one.go();
+    const auto answer_to = [&](const std::string& request) {
+        auto peer = one.program.client();
+        peer.say(request);
+        return peer.answer();
+    };
+    const auto answer_to_body = [&](const std::string& body) { return answer_to(post("again", "t", body)); };
+    CHECK(answer_to("nonsense\r\n\r\n") == "400 connection=close no request line\n");
+    CHECK(answer_to("PUT / HTTP/1.1\r\n\r\n") == "405 no such method here\n");
+    CHECK(answer_to("GET /else HTTP/1.1\r\n\r\n") == "404 nothing here\n");
+    CHECK(answer_to(post("never", "t", asks({1}))) == "400 an unknown op type\n");
+    CHECK(answer_to(post("again", "t t", asks({1}))) == "400 X-Txn is missing or malformed\n");
+    CHECK(answer_to(post("again", "t", asks({1}), 0)) == "400 X-Remaining-Ms is malformed\n");
+    CHECK(answer_to("POST /again HTTP/1.1\r\nX-Txn: t\r\nX-Org: acme, inc\r\n\r\n") == "400 X-Remaining-Ms is missing\n");
+    CHECK(answer_to("POST /again HTTP/1.1\r\nX-Txn: t\r\nX-Org: else\r\n\r\n") == "400 an unknown X-Org\n");
+    CHECK(answer_to("POST /again HTTP/1.1\r\nX-Txn: t\r\nX-Lane: once\r\n\r\n") == "400 X-Lane and the path differ\n");
+    CHECK(answer_to_body("{") == "400 JSON, byte 1: cut short\n");
+    CHECK(answer_to_body(std::string(60'000, '[')) == "400 JSON, byte 17: nested too deep\n");
+    CHECK(answer_to_body(std::string(70'000, ' ')) == "413 connection=close the body is too large\n");
+    CHECK(answer_to_body("{\"targets\":[]}") == "400 query is no text\n");
+    CHECK(answer_to_body(asks({})) == "400 targets is no list of parts\n");
+    CHECK(answer_to_body(asks({12})) == "400 a partition is out of range\n");
+    CHECK(answer_to_body(asks({-1})) == "400 a partition is out of range\n");
+    CHECK(answer_to_body(asks({1, 1})) == "400 a partition stands twice\n");
+    CHECK(answer_to_body(R"({"targets":[{"partition":1,"share":0}],"query":"q"})") == "400 a share is no positive share\n");
+    CHECK(answer_to_body(R"({"targets":[{"partition":1,"share":1,"route":"xyz"}],"query":"q"})") ==
+          "400 route is not 16 hex digits\n");
+    CHECK(answer_to_body(asks({1, 2, 3, 4})) == "503 no room\n");
+    CHECK(one.ask("again", "t", {1, 2, 3}) == "St.1 1 1\nqt.2 2 1\nq");
+    CHECK(answer_to(post("again", "u", asks({1}))) == "503 no room\n");
+    one.client = Peer{};
+    CHECK(one.program.counter_at("open_multigets", 0) == 0);
+    CHECK(one.program.counter("bad_requests") == 19);
+}
+
+TEST_CASE("a name that is under way is not taken twice") {
+    OneServer one;
+    one.go();
+    one.ask("again", "t", {1});
+    auto other = one.program.client();
+    other.say(post("again", "t", asks({2})));
+    CHECK(other.answer() == "409 a request of this X-Txn is under way\n");
+    one.link.reply("t.1", "done", "x");
+    CHECK(one.client.answer().starts_with("200 "));
+    other.say(post("again", "t", asks({2})));
+    CHECK(one.link.frame() == "St.2 2 1\nq");
+}
+
+TEST_CASE("the list is followed: new servers are used, drained ones are not, addresses may change") {
+    Listener first, second, moved, discovery;
+    Program program({{"s-1", first.at()}}, discovery.at());
+    auto client = program.start().client();
+    auto watch = discovery.accept();
+    CHECK(watch.read_to("\r\n") == "GET /discovery/hosts?stream=1&index=1 HTTP/1.1\r\n");
+    const auto drained = list_object(2, false, {{"s-1", first.at(), "Terminating"}, {"s-2", second.at()}});
+    watch.say(kStream + chunk("\n") + chunk(drained.substr(0, 30)) + chunk(drained.substr(30) + "\n"));
+    CHECK(program.counter_at("list_news", 2) == 2);
+    client.say(post("again", "t1", asks({1})));
+    auto link = second.accept();
+    CHECK(link.frame() == "St1.1 1 1\nq");
+    link.reply("t1.1", "done", "x");
+    CHECK(client.answer().starts_with("200 "));
+    watch.say(chunk(list_object(3, true, {{"s-2", moved.at()}}) + "\n"));
+    CHECK(program.counter_at("list_news", 3) == 3);
+    CHECK(link.ended());
+    client.say(post("again", "t2", asks({1})));
+    link = moved.accept();
+    CHECK(link.frame() == "St2.1 1 1\nq");
+    link.reply("t2.1", "done", "x");
+    CHECK(client.answer().starts_with("200 "));
+    watch.say(chunk("{\"revision\":4,\"complete\":false,\"members\":[{\"id\":\"bad\"}," + Listed{"s-3", first.at()}.text() + "]}\n"));
+    CHECK(program.counter_at("list_news", 4) == 4);
+    CHECK(program.counter("list_entries_refused") == 1);
+}
+
+TEST_CASE("a list call that fails or falls silent is made again, on the last revision, and not in a storm") {
+    Listener server, discovery;
+    Program program({{"s-1", server.at()}}, discovery.at());
+    program.start();
+    auto watch = discovery.accept();
+    watch.read_to("\r\n\r\n");
+    const auto now = [] { return std::chrono::steady_clock::now(); };
+    auto failed_at = now();
+    SUBCASE("503") { watch.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"); }
+    SUBCASE("reset") { watch.reset(); }
+    SUBCASE("nonsense") { watch.say(kStream + chunk("{\"revision\":}\n")); }
+    SUBCASE("silence") {
+        watch.say(kStream + chunk(list_object(7, false, {}) + "\n"));
+        CHECK(program.counter_at("list_news", 2) == 2);
+        CHECK(watch.ended());
+        failed_at = now();
+    }
+    auto again = discovery.accept();
+    CHECK(now() - failed_at > std::chrono::milliseconds(80));  // a sixteenth of the time in which it must ask
+    const auto revision = program.counter("list_news") == 2 ? "7" : "1";
+    CHECK(again.read_to(" HTTP").ends_with(std::string("index=") + revision + " HTTP"));
+    CHECK(program.counter("list_failures") == 1);
+}
+
+TEST_CASE("a planned restart answers what was taken, also on new connections, and ends with 0") {
+    OneServer one;
+    one.go();
+    one.ask("again", "t1", {1});
+    auto idle = one.program.client();
+    idle.say("GET /up HTTP/1.1\r\n\r\n");
+    CHECK(idle.answer() == "200 up\n");
+    one.program.kill(SIGTERM);
+    auto late = one.program.client();
+    late.say(post("again", "t2", asks({2})));
+    CHECK(one.link.frame() == "St2.2 2 1\nq");
+    CHECK(idle.ended());
+    one.link.reply("t2.2", "done", "two");
+    one.link.reply("t1.1", "done", "one");
+    CHECK(one.client.answer() ==
+          R"(200 connection=close {"whole":true,"results":[{"partition":1,"value":"one"}]})");
+    CHECK(late.answer() == R"(200 connection=close {"whole":true,"results":[{"partition":2,"value":"two"}]})");
+    CHECK(one.client.ended());
+    late = Peer{};
+    one.client = Peer{};
+    CHECK(one.program.wait() == 0);
+    CHECK(one.program.log().find("multigets_answered_whole 2\n") != std::string::npos);
+}
+
+TEST_CASE("after a kill it starts from nothing on the same address at once") {
+    OneServer one;
+    one.go();
+    one.ask("again", "t1", {1});
+    one.program.kill(SIGKILL);
+    CHECK(one.client.answer() == "nothing");
+    CHECK(one.link.ended());
+    one.go();
+    CHECK(one.ask("again", "t1", {1}) == "St1.1 1 1\nq");
+}
+
+TEST_CASE("with few descriptors idle clients make room for new ones") {
+    OneServer one;
+    one.program.with("\"sockets\":1024", "\"sockets\":32");  // eight of them for clients
+    one.go();
+    std::vector<Peer> idle;
+    for (int i = 0; i < 20; ++i) {
+        idle.push_back(one.program.client());
+        idle.back().say("GET /up HTTP/1.1\r\n\r\n");
+        CHECK(idle.back().answer() == "200 up\n");
+    }
+    CHECK(idle.front().ended());
+    CHECK(one.program.counter("clients_open_most_at_once") == 8);
+}
+
+TEST_CASE("a configuration that cannot be used ends the start with the faulty key") {
+    OneServer one;
+    std::string told;
+    SUBCASE("missing") { one.program.with("\"tick_ms\":1.0", "\"tock_ms\":1.0"), told = "settings: tick_ms is missing"; }
+    SUBCASE("a second step") {
+        one.program.with("\"follow_up\":[0,0]", "\"follow_up\":[0,2]");
+        told = "settings: family_info.follow_up asks for a second step, which this protocol lacks";
+    }
+    SUBCASE("no JSON") { one.program.with("{\"name\"", "{{\"name\""), told = "configuration: JSON, byte 2: "; }
+    one.program.start();
+    CHECK(one.program.wait() == 1);
+    CHECK(one.program.log().starts_with("pinedoor: " + told));
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/stand_ins.hpp
@@ -0,0 +1,305 @@
+// Starts the program, and plays clients, index servers and discovery to it on loopback, one step after the other. Each
+// step waits for what it needs, so nothing depends on how quick the machine is.
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "net/socket.hpp"
+#include "parse/frame.hpp"
+#include "parse/http.hpp"
+
+namespace pinedoor::test {
+
+inline constexpr int kPatienceSeconds = 8;  // for what never comes
+
+inline sockaddr_in to_sockaddr(net::Endpoint at) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(at.port);
+    address.sin_addr.s_addr = htonl(at.address);
+    return address;
+}
+
+inline void limit_waits(const net::Fd& fd) {
+    const timeval limit{kPatienceSeconds, 0};
+    setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    setsockopt(fd.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+}
+
+// One end of a connection.
+class Peer {
+public:
+    Peer() = default;
+    explicit Peer(net::Fd fd) : fd_(std::move(fd)) { limit_waits(fd_); }
+    explicit Peer(net::Endpoint to) : Peer(net::Fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))) {
+        const auto address = to_sockaddr(to);
+        connected_ = connect(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    }
+
+    bool connected() const { return connected_; }
+    void say(std::string_view bytes) {
+        while (!bytes.empty()) {
+            const auto count = send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (count <= 0) return;
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+        }
+    }
+    // What has come up to and with the mark; all that came if the connection ended before it.
+    std::string read_to(std::string_view mark) {
+        for (std::size_t at = 0; (at = held_.find(mark)) == std::string::npos;) {
+            if (!read_more()) return std::exchange(held_, {});
+        }
+        return take(held_.find(mark) + mark.size());
+    }
+    std::string read_bytes(std::size_t count) {
+        while (held_.size() < count) {
+            if (!read_more()) return std::exchange(held_, {});
+        }
+        return take(count);
+    }
+    bool ended() {  // nothing more comes
+        while (held_.empty() && read_more()) {}
+        return held_.empty();
+    }
+    void reset() {  // closes so that the other end sees a reset
+        const linger now{1, 0};
+        setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        fd_ = net::Fd{};
+    }
+
+    // A client's: "200 body", and what headers matter.
+    std::string answer() {
+        parse::HttpReader reader(parse::HttpReader::Kind::kResponse);
+        while (reader.state() != parse::HttpReader::State::kDone) {
+            if (held_.empty() && !read_more()) return "nothing";
+            take(reader.feed(held_));
+        }
+        std::string seen = std::to_string(reader.status());
+        for (const char* name : {"retry-after", "connection"}) {
+            if (const auto* value = reader.header(name)) seen += ' ' + std::string(name) + '=' + *value;
+        }
+        const auto body = reader.take_body();
+        return body.empty() ? seen : seen + ' ' + body;
+    }
+
+    // An index server's: the letter and the rest of the next frame, without how long the front node will wait.
+    std::string frame() {
+        const auto head = read_bytes(4);
+        if (head.size() < 4) return "nothing";
+        const auto size = static_cast<unsigned char>(head[0]) + 256U * static_cast<unsigned char>(head[1]);
+        auto text = read_bytes(size);
+        for (auto at = text.find(" d="); at != std::string::npos; at = text.find(" d=")) {
+            text.erase(at, text.find(' ', at + 1) - at);
+        }
+        return text;
+    }
+    void reply(const std::string& id, const std::string& end, const std::string& value = "") {
+        say_frame("R" + id + ' ' + end + " 7 util=0.5\n" + value);
+    }
+    void say_frame(const std::string& text) {
+        auto frame = parse::begin_frame(text.at(0));
+        frame += text.substr(1);
+        parse::end_frame(frame);
+        say(frame);
+    }
+
+private:
+    bool read_more() {
+        char bytes[4096];
+        const auto count = recv(fd_.get(), bytes, sizeof bytes, 0);
+        if (count > 0) held_.append(bytes, static_cast<std::size_t>(count));
+        return count > 0;
+    }
+    std::string take(std::size_t count) {
+        auto taken = held_.substr(0, count);
+        held_.erase(0, count);
+        return taken;
+    }
+
+    net::Fd fd_;
+    std::string held_;
+    bool connected_ = false;
+};
+
+// Somebody who is connected to.
+class Listener {
+public:
+    Listener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        limit_waits(fd_);
+        auto address = to_sockaddr({INADDR_LOOPBACK, 0});
+        socklen_t size = sizeof address;
+        if (bind(fd_.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0) std::abort();
+        getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address), &size);
+        at_ = {INADDR_LOOPBACK, ntohs(address.sin_port)};
+        listen(fd_.get(), 64);
+    }
+    net::Endpoint at() const { return at_; }
+    Peer accept() { return Peer(net::Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC))); }
+    void close() { fd_ = net::Fd{}; }
+
+private:
+    net::Fd fd_;
+    net::Endpoint at_;
+};
+
+// Listed servers: name, address, and the phase; all hold all shards.
+struct Listed {
+    std::string name;
+    net::Endpoint at;
+    std::string phase = "Ready";
+    std::string text() const {
+        return "{\"id\":\"" + name + "\",\"host_port\":\"" + net::to_text(at) +
+               "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":0,\"phase\":\"" + phase +
+               "\",\"size\":1.0,\"up_since_ms\":0}";
+    }
+};
+
+inline std::string list_object(int revision, bool complete, const std::vector<Listed>& members) {
+    std::string text = "{\"revision\":" + std::to_string(revision) +
+                       ",\"complete\":" + (complete ? "true" : "false") + ",\"members\":[";
+    for (const auto& member : members) {
+        if (text.back() != '[') text += ',';
+        text += member.text();
+    }
+    return text + "]}";
+}
+
+inline std::string chunk(const std::string& text) {
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+}
+
+inline const std::string kStream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// The front node, with a deployment small enough for tests: one place, so every server holds all shards; parts are
+// sent once, so each outcome shows in the ending. Any text of the configuration may be replaced before start().
+class Program {
+public:
+    explicit Program(const std::vector<Listed>& known, net::Endpoint discovery) {
+        Listener unused;  // its port is free again at once
+        at_ = unused.at();
+        config_ = R"({"name":"n0","listen":")" + net::to_text(at_) + R"(","discovery":")" +
+                  net::to_text(discovery) + R"(","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":)" +
+                  list_object(1, true, known) + R"(,"settings":{
+"classes":[
+{"aim_ms":2000.0,"deadline_ms":4000.0,"effect":"free","late_worth":0.0,"memory_span_ms":0.0,"name":"again","worth":1.0},
+{"aim_ms":2000.0,"deadline_ms":4000.0,"effect":"single_shot","late_worth":0.0,"memory_span_ms":0.0,"name":"once","worth":1.0}],
+"clients":{"marks_retry":false},"discovery":"on_request","failure_domains":["a"],
+"family_info":{"follow_up":[0,0],"min_share":[0.5,1.0],"need_by_class":[1.0,1.0],"overhead_ms":1.0,"per_call":2,"places":1,
+"shards":12,"short_worth":[0.9,0.9],"warm_keys":false,"width":1},
+"limits":{"cancel":true,"conn_idle_ms":30000.0,"connect_timeout_ms":250.0,"max_attempts":1,"max_open":40,
+"max_retry_after_ms":1250.0,"peers":false,"probes":false,"retry_after":true,"second_copies":true,"streams_per_conn":4},
+"load_info":{"fields":["util"],"how":"inline"},"me":0,
+"parties":[{"fraction":1.0,"name":"acme, inc","quota_per_s":100.0}],
+"rules":{"cold_from":0.2,"fall_multiple":3.0,"grace_to_answer_ms":20.0,"must_ask_in_ms":1600.0,
+"stop_sending_within_ms":250.0,"tip_after_ms":1000.0,"warm_after_ms":16000.0},
+"siblings":1,"tick_ms":1.0,"zone":0}})";
+    }
+    ~Program() { kill(SIGKILL); }
+    Program(const Program&) = delete;
+    Program& operator=(const Program&) = delete;
+
+    Program& with(const std::string& old_text, const std::string& new_text) {
+        const auto at = config_.find(old_text);
+        if (at == std::string::npos) std::abort();
+        config_.replace(at, old_text.size(), new_text);
+        return *this;
+    }
+    Program& start() {
+        char folder[] = "/tmp/pinedoor-test-XXXXXX";
+        if (folder_.empty()) folder_ = mkdtemp(folder);
+        std::ofstream(folder_ + "/config.json") << config_;
+        pid_ = fork();
+        if (pid_ == 0) {
+            setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
+            for (const char* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) unsetenv(name);
+            const int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+            dup2(log, 2);
+            execl(PINEDOOR_PROGRAM, PINEDOOR_PROGRAM, static_cast<char*>(nullptr));
+            _exit(127);
+        }
+        return *this;
+    }
+    // A connection to it, once it listens.
+    Peer client() {
+        for (int tries = 0; tries < kPatienceSeconds * 100; ++tries) {
+            Peer peer(at_);
+            if (peer.connected()) return peer;
+            usleep(10'000);
+        }
+        return Peer{};
+    }
+    void kill(int signal) {
+        if (pid_ <= 0) return;
+        ::kill(pid_, signal);
+        if (signal == SIGKILL) wait();
+    }
+    int wait() {  // its exit code, or minus the signal that ended it
+        int status = 0;
+        if (pid_ <= 0 || waitpid(std::exchange(pid_, 0), &status, 0) < 0) return -1000;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+    std::string log() const {
+        std::ostringstream text;
+        text << std::ifstream(folder_ + "/log").rdbuf();
+        return text.str();
+    }
+    std::uint64_t counter(const std::string& name) {
+        auto peer = client();
+        peer.say("GET /counters HTTP/1.1\r\nConnection: close\r\n\r\n");
+        const auto answer = peer.answer();
+        std::istringstream lines(answer.substr(std::min<std::size_t>(answer.size(), 21)));  // behind "200 connection=close "
+        std::uint64_t value = 0;
+        for (std::string word; lines >> word >> value;) {
+            if (word == name) return value;
+        }
+        return 999'999;
+    }
+    // Waits until a counter has come to a value; what it was at last.
+    std::uint64_t counter_at(const std::string& name, std::uint64_t value) {
+        std::uint64_t seen = 0;
+        for (int tries = 0; tries < kPatienceSeconds * 100 && (seen = counter(name)) != value; ++tries) usleep(10'000);
+        return seen;
+    }
+
+private:
+    net::Endpoint at_;
+    std::string config_;
+    std::string folder_;
+    pid_t pid_ = 0;
+};
+
+inline std::string post(const std::string& op_type, const std::string& name, const std::string& body,
+                        int remaining_ms = 4'000) {
+    return "POST /" + op_type + " HTTP/1.1\r\nHost: x\r\nx-txn: " + name + "\r\nX-Lane: " + op_type +
+           "\r\nX-Org: acme, inc\r\nX-Remaining-Ms: " + std::to_string(remaining_ms) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A body that asks for these shards, with even shares.
+inline std::string asks(const std::vector<int>& shards, const std::string& text = "q") {
+    std::string body = "{\"targets\":[";
+    for (const int shard : shards) {
+        if (body.back() != '[') body += ',';
+        body += "{\"partition\":" + std::to_string(shard) +
+                ",\"share\":" + std::to_string(1.0 / static_cast<double>(shards.size())) + "}";
+    }
+    return body + "],\"query\":\"" + text + "\"}";
+}
+
+}  // namespace pinedoor::test
