Multigets are turned away once max_open are open, not when one more would go beyond

Seen: three multigets of the worst 10 s refused; a log line for want of room showed two of them, 'no room: 112 open', each a tally of 49 under a limit of about three tallies (exchange.cpp, ask). Ruled out: aside and pressure, whose lines come after.

--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -65,7 +65,9 @@
 }
 
 std::pair<Exchange::Asked, Id> Exchange::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
-    if (multigets_.size() + parts_.size() + 1 + asked.parts.size() > most_open_) {
+    // With so many open further ones are turned away; the last one may go beyond. Held to the number itself, a node with
+    // two of the largest multigets would refuse a third that the settings have room for.
+    if (multigets_.size() + parts_.size() >= most_open_) {
         counters_.add(Count::kNoRoom);
         log_.line("no room: " + std::to_string(multigets_.size() + parts_.size()) + " open");
         return {Asked::kNoRoom, 0};
