--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -65,11 +65,12 @@
 }
 
 std::pair<Exchange::Asked, Id> Exchange::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
-    // With so many open further ones are turned away; the last one may go beyond. Held to the number itself, a node with
-    // two of the largest multigets would refuse a third that the settings have room for.
-    if (multigets_.size() + parts_.size() >= most_open_) {
+    // With so many open further ones are turned away; the last one may go beyond, and parts that are in do not count:
+    // else a node with two of the largest multigets would refuse a third that the settings have room for.
+    const auto open_now = multigets_.size() + parts_open_;
+    if (open_now >= most_open_) {
         counters_.add(Count::kNoRoom);
-        log_.line("no room: " + std::to_string(multigets_.size() + parts_.size()) + " open");
+        log_.line("no room: " + std::to_string(open_now) + " open");
         return {Asked::kNoRoom, 0};
     }
     // Guards the names of parts: two multigets of one name would share them at the index servers.
@@ -88,7 +89,8 @@
         open.parts.push_back(part.id);
         parts_[part.id] = {told.id, part.shard, 0, false, {}};
     }
-    most_at_once_ = std::max(most_at_once_, multigets_.size() + parts_.size());
+    parts_open_ += open.parts.size();
+    most_at_once_ = std::max(most_at_once_, multigets_.size() + parts_open_);
     const Id id = told.id;
     happened(std::move(told));
     return {Asked::kTaken, id};
@@ -105,7 +107,11 @@
 Exchange::Open Exchange::forget(std::map<Id, Open>::iterator at) {
     auto open = std::move(at->second);
     multigets_.erase(at);
-    for (const Id part : open.parts) parts_.erase(part);
+    for (const Id part : open.parts) {
+        const auto found = parts_.find(part);
+        parts_open_ -= found->second.in ? 0U : 1U;
+        parts_.erase(found);
+    }
     hold_name(open.name, -1);
     return open;
 }
@@ -134,6 +140,7 @@
     const auto part = parts_.find(call.part);
     if (outcome == Outcome::kReturned && part != parts_.end() && !part->second.in) {
         part->second.in = true;
+        --parts_open_;
         part->second.value = std::move(value);
     }
     happened(SendEnded{call.part, call.send, call.server, scheduler_.now() - call.sent, outcome,
@@ -211,7 +218,7 @@
 std::string Exchange::print_gauges() const {
     std::string out;
     append_line(out, "open_multigets", multigets_.size());
-    append_line(out, "open_parts", parts_.size());
+    append_line(out, "open_parts", parts_open_);
     append_line(out, "open_most_at_once", most_at_once_);
     append_line(out, "sends_out", out_.size());
     append_line(out, "list_age_ms",
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -142,6 +142,7 @@
     std::map<std::pair<Id, int>, std::string> out_;  // sends without an outcome, by their multiget's name
     std::map<std::string, int> names_;               // held by an open multiget, or by sends of it still out
     std::map<std::string, ServerId> servers_;
+    std::size_t parts_open_ = 0;  // of open multigets, without a value
     std::size_t most_at_once_ = 0;
     Time list_heard_ = 0;
     Id last_id_ = 0;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -179,7 +179,12 @@
     other.say(post("again", "u", asks({3})));
     CHECK(one.link.frame() == "Su.3 3 1\nq");
     CHECK(answer_to(post("again", "v", asks({1}))) == "503 no room\n");
-    other = Peer{};
+    one.link.reply("t.1", "done", "x");  // what is in makes room
+    CHECK(one.program.counter_at("open_parts", 2) == 2);
+    auto third = one.program.client();
+    third.say(post("again", "w", asks({4})));
+    CHECK(one.link.frame() == "Sw.4 4 1\nq");
+    other = third = Peer{};
     one.client = Peer{};
     CHECK(one.program.counter_at("open_multigets", 0) == 0);
     CHECK(one.program.counter("bad_requests") == 19);
