--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -184,7 +184,8 @@
     auto third = one.program.client();
     third.say(post("again", "w", asks({4})));
     CHECK(one.link.frame() == "Sw.4 4 1\nq");
-    other = third = Peer{};
+    other = Peer{};
+    third = Peer{};
     one.client = Peer{};
     CHECK(one.program.counter_at("open_multigets", 0) == 0);
     CHECK(one.program.counter("bad_requests") == 19);
