--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -319,7 +319,7 @@
     Desk(Post& post, std::vector<OpType> op_types, ShardRing ring, SendTerms sends, FurtherSendTerms further,
          ClientTerms clients, Time turn)
         : post_(post), op_types_(std::move(op_types)), ring_(ring), sends_(sends), clients_(clients),
-          turn_(turn), further_(further) {
+          turn_(turn), slack_(turn + sends.connect_timeout), further_(further) {
         s_.tries.resize(op_types_.size());
     }
 
@@ -434,15 +434,15 @@
     static constexpr double kHopeful = 0.4;       // of the time left that an expected wait may take
 
     void log_sends(int taken, int sent) {
-        log_.note({post_.now, taken, sent}, post_.now - further_.look_back - turn_);
+        log_.note({post_.now, taken, sent}, post_.now - further_.look_back - slack_);
     }
 
-    // Keeps further sends within the stated few plus the stated share of what was taken in the same time; a
-    // turn too early or too late counts against it.
+    // Keeps further sends within the stated few plus the stated share of what was taken in the same time. One
+    // counts when it arrives, maybe a connect time-out late: a turn and that much either way count against it.
     bool budget_allows() const {
         if (further_.look_back == 0) return true;
-        const double earned = further_.ratio * log_.taken_after(post_.now - further_.look_back + turn_);
-        return further_.floor + earned - log_.sent_from(post_.now - further_.look_back - turn_) >= 1;
+        const double earned = further_.ratio * log_.taken_after(post_.now - further_.look_back + slack_);
+        return further_.floor + earned - log_.sent_from(post_.now - further_.look_back - slack_) >= 1;
     }
 
     // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when it
@@ -550,7 +550,7 @@
         if (type.repeat == Repeat::kRetriable || part.all_proven_not_run()) return true;
         if (type.repeat == Repeat::kNonRetriable) return false;
         for (const auto& sent : part.sends) {
-            if (sent.may_have_run) return post_.now + turn_ < sent.sent + type.dedup_window;
+            if (sent.may_have_run) return post_.now + slack_ < sent.sent + type.dedup_window;
         }
         return true;
     }
@@ -664,7 +664,7 @@
     const ShardRing ring_;
     const SendTerms sends_;
     const ClientTerms clients_;
-    const Time turn_;
+    const Time turn_, slack_;
     const FurtherSendTerms further_;
     SendLog log_;
     InstanceState s_;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -262,6 +262,12 @@
 0 send 100 to B
 0 send 101 to C
 5 send 100 to A
+)");
+    // The first may have arrived a connect time-out late: it counts for that much longer.
+    s.pass(5'000).quietly().pass(65).arrive(2, kWholly, {1}, 2).pass(5).end({200}, Outcome::kError).pass(500);
+    CHECK(s.trace() == R"(
+5100 send 200 to D
+5265 send 200 to C
 )");
 }
 
--- a/tests/script.hpp
+++ b/tests/script.hpp
@@ -16,7 +16,7 @@
     OpType partly{10'000, 20'000, Repeat::kRetriable, 0, 5, 0, 0.6, 1, 0.9, 0};
     OpType wholly{10'000, 20'000, Repeat::kRetriable, 0, 1, 0, 1, 1, 0.9, 0};
     OpType once{10'000, 20'000, Repeat::kNonRetriable, 0, 1, 0.3, 1, 1, 0.9, 0};
-    OpType marked{10'000, 20'000, Repeat::kDeduped, 2'000, 1, 0, 1, 1, 0.9, 0};
+    OpType marked{10'000, 20'000, Repeat::kDeduped, 4'000, 1, 0, 1, 1, 0.9, 0};
     ShardRing ring{4, 2, 1, 0};
     SendTerms sends{3, true, true, 2'500};
     FurtherSendTerms further;
