What replaces a timed out send leaves a turn later; a test of servers that do anything

On paper: where second copies are not allowed, C and the next S travel on two connections; after a call-off a turn lies between, after a time-out nothing did (exchange.cpp, run). A test plays eight servers that fail, lie, break off and reset by chance, with clients that leave: one answer a request, one outcome a send, no broken invariant, exit 0; it found nothing, also under the sanitizers.

--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -27,7 +27,7 @@
     for (;;) {
         Time due = bells_.empty() ? net::kNever : bells_.begin()->first;
         if (!events_.empty()) due = 0;
-        due = std::max(due, last_turn_ + turn_);
+        due = std::max(due, next_turn_);
         const Time now = scheduler_.now();
         if (now >= due) turn(now);
         else co_await waiter_.wait(0, due);
@@ -37,6 +37,7 @@
 void Exchange::turn(Time now) {
     must_hold(now >= last_turn_, counters_);
     last_turn_ = now;
+    next_turn_ = now + turn_;
     counters_.add(Count::kTurns);
     auto events = std::exchange(events_, {});
     while (!bells_.empty() && bells_.begin()->first <= now) {
@@ -146,8 +147,11 @@
         --parts_open_;
         part->second.value = std::move(value);
     }
-    happened(SendEnded{call.part, call.send, call.server, scheduler_.now() - call.sent, outcome,
-                       std::move(load)});
+    const Time now = scheduler_.now();
+    // The server was told just now that this send is given up. What replaces it leaves a turn later, as after a call-off,
+    // or it could arrive first, on another connection, as a second copy.
+    if (outcome == Outcome::kTimedOut) next_turn_ = std::max(next_turn_, now + turn_);
+    happened(SendEnded{call.part, call.send, call.server, now - call.sent, outcome, std::move(load)});
 }
 
 void Exchange::list_news(ListKind kind, std::vector<Member> members) {
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -137,6 +137,7 @@
     std::vector<Event> events_;
     std::multimap<Time, std::uint32_t> bells_;
     Time last_turn_ = 0;
+    Time next_turn_ = 0;  // none before
     std::map<Id, Open> multigets_;
     std::map<Id, OpenPart> parts_;
     std::map<std::pair<Id, int>, std::string> out_;  // sends without an outcome, by their multiget's name
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -1,6 +1,8 @@
 #include "service/front_door.hpp"
 
 #include <algorithm>
+#include <filesystem>
+#include <iterator>
 
 namespace pinedoor::service {
 namespace {
@@ -58,6 +60,8 @@
 std::string FrontDoor::print_counters() const {
     std::string out = counters_.print() + exchange_.print_gauges() + servers_.print_gauges() +
                       clients_.print_gauges();
+    const std::filesystem::directory_iterator held("/proc/self/fd"), end;
+    append_line(out, "descriptors_open", static_cast<std::uint64_t>(std::distance(held, end)) - 1);
     append_line(out, "longest_turn_us", static_cast<std::uint64_t>(scheduler_.longest_round()) * 100);
     return out;
 }
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -310,6 +310,48 @@
     CHECK(one.ask("again", "t", {1}) == "St.1 1 1\nq");
 }
 
+TEST_CASE("whatever servers and clients do, each request has one answer and each send one outcome") {
+    Mischief servers(8);
+    Listener discovery;
+    std::vector<Listed> known;
+    for (std::size_t i = 0; i < 8; ++i) known.push_back({"s-" + std::to_string(i), servers.at(i)});
+    Program program(known, discovery.at());
+    for (int i = 0; i < 2; ++i) program.with("\"aim_ms\":2000", "\"aim_ms\":300");  // soon back from being set aside
+    program.with("\"max_attempts\":1", "\"max_attempts\":3").with("\"max_open\":40", "\"max_open\":400").start();
+    for (int round = 0; round < 6; ++round) {
+        std::vector<Peer> clients;
+        for (int i = 0; i < 20; ++i) {
+            clients.push_back(program.client());
+            const auto name = std::to_string(round) + '-' + std::to_string(i);
+            clients.back().say(post(i % 2 == 0 ? "again" : "once", name, asks({i % 12, (i + 5) % 12}), 400 + 10 * i));
+            if (i % 7 == 0) clients.back() = Peer{};
+        }
+        for (int i = 0; i < 20; ++i) {
+            if (i % 7 == 0) continue;
+            const auto name = std::to_string(round) + '-' + std::to_string(i);
+            const auto answer = clients[static_cast<std::size_t>(i)].answer();
+            CAPTURE(answer);
+            const auto shard = std::to_string(i % 12);
+            const auto value = "\"partition\":" + shard + ",\"value\":\"of " + name + '.' + shard + '"';
+            const bool has_value = answer.find(value) != std::string::npos ||
+                                   answer.find("\"partition\":" + shard + ',') == std::string::npos;
+            CHECK((answer.starts_with("503") || answer == "500" || (answer.starts_with("200 {") && has_value)));
+        }
+    }
+    CHECK(program.counter_at("open_multigets", 0) == 0);
+    CHECK(program.counter_at("sends_out", 0) == 0);
+    std::uint64_t outcomes = 0;
+    for (const char* name : {"returned", "error", "full", "timed_out", "no_connection", "reset", "cancelled", "never_sent"}) {
+        outcomes += program.counter(std::string("sends_") + name);
+    }
+    CHECK(outcomes == program.counter("sends"));
+    CHECK(program.counter("multigets_taken") == 120);
+    CHECK(program.counter("invariants_broken") == 0);
+    CHECK(program.counter("tasks_threw") == 0);
+    program.kill(SIGTERM);
+    CHECK(program.wait() == 0);
+}
+
 TEST_CASE("a configuration that cannot be used ends the start with the faulty key") {
     OneServer one;
     std::string told;
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -5,16 +5,20 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "net/socket.hpp"
@@ -50,6 +54,8 @@
     }
 
     bool connected() const { return connected_; }
+    int fd() const { return fd_.get(); }
+    bool holds_more() const { return !held_.empty(); }
     void say(std::string_view bytes) {
         while (!bytes.empty()) {
             const auto count = send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -147,6 +153,7 @@
         listen(fd_.get(), 64);
     }
     net::Endpoint at() const { return at_; }
+    int fd() const { return fd_.get(); }
     Peer accept() { return Peer(net::Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC))); }
     void close() { fd_ = net::Fd{}; }
 
@@ -155,6 +162,65 @@
     net::Endpoint at_;
 };
 
+// Index servers that answer, fail, turn away, keep silent, lie, break off and reset, by chance from a seed, until they go.
+class Mischief {
+public:
+    explicit Mischief(int servers) : listeners_(static_cast<std::size_t>(servers)) {
+        thread_ = std::thread([this] { run(); });
+    }
+    ~Mischief() {
+        stop_ = true;
+        thread_.join();
+    }
+    net::Endpoint at(std::size_t server) const { return listeners_[server].at(); }
+
+private:
+    void run() {
+        while (!stop_) {
+            std::vector<pollfd> polled;
+            for (const auto& listener : listeners_) polled.push_back({listener.fd(), POLLIN, 0});
+            for (const auto& peer : peers_) polled.push_back({peer.fd(), POLLIN, 0});
+            poll(polled.data(), polled.size(), 20);
+            for (std::size_t i = peers_.size(); i-- > 0;) {
+                if (polled[listeners_.size() + i].revents == 0) continue;
+                bool open = serve(peers_[i]);
+                while (open && peers_[i].holds_more()) open = serve(peers_[i]);
+                if (!open) peers_.erase(peers_.begin() + static_cast<std::ptrdiff_t>(i));
+            }
+            for (std::size_t i = 0; i < listeners_.size(); ++i) {
+                if (polled[i].revents != 0) peers_.push_back(listeners_[i].accept());
+            }
+        }
+    }
+    bool serve(Peer& peer) {
+        auto frame = peer.frame();
+        if (frame == "nothing") return false;
+        if (frame[0] != 'S') return true;
+        std::istringstream parts(frame.substr(1));
+        std::string id, shard;
+        for (std::size_t size = 0; parts >> id >> shard >> size;) {
+            parts.ignore(static_cast<std::streamsize>(size) + 1);
+            switch (chance_() % 40) {
+                case 0: peer.reply(id, "failed"); break;
+                case 1: peer.reply(id, "full"); break;
+                case 2: peer.say(std::string("\x30\0\0\0R", 5) + id); return false;
+                case 3: peer.reset(); return false;
+                case 4: peer.reply(id + "0", "done"); break;
+                case 5: break;  // silence
+                case 6: peer.say_frame("Fwhat"); break;
+                default: peer.reply(id, "done", "of " + id);
+            }
+        }
+        return true;
+    }
+
+    std::vector<Listener> listeners_;
+    std::vector<Peer> peers_;
+    std::mt19937 chance_{7};
+    std::atomic<bool> stop_ = false;
+    std::thread thread_;
+};
+
 // Listed servers: name, address, and the phase; all hold all shards.
 struct Listed {
     std::string name;
