--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -438,7 +438,7 @@
     }
 
     // Keeps further sends within the stated few plus the stated share of what was taken in the same time. One
-    // counts when it arrives, maybe a connect time-out late: a turn and that much either way count against it.
+    // counts when it arrives, maybe a connect time-out late: a turn and so much, either way, count against.
     bool budget_allows() const {
         if (further_.look_back == 0) return true;
         const double earned = further_.ratio * log_.taken_after(post_.now - further_.look_back + slack_);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -32,7 +32,8 @@
 int main() {
     try {
         const auto signals = watch_signals();
-        const auto launch = pinedoor::stated::Launch::read([](const char* name) { return std::getenv(name); });
+        const auto launch =
+            pinedoor::stated::Launch::read([](const char* name) { return std::getenv(name); });
         pinedoor::net::Scheduler scheduler;
         pinedoor::service::FrontDoor door(scheduler, launch, stderr);
         pinedoor::net::Waiter waiter(scheduler, signals.get());
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -1,15 +1,17 @@
 // Coroutines over epoll, on one thread.
 //
-// Who owns what. A Task owns its coroutine's frame; whoever holds the Task (a connection, a side) owns it. A Waiter
-// belongs to one descriptor, or to none, and at most one coroutine waits on it. start() runs a coroutine up to its
-// first wait, on the caller's stack; from then on only the scheduler resumes it, from run(), never from within
-// another coroutine: signal() puts a waiter into a queue, so nothing recurses and no wake-up is lost.
+// Who owns what. A Task owns its coroutine's frame; whoever holds the Task (a connection, a side) owns it. A
+// Waiter belongs to one descriptor, or to none, and at most one coroutine waits on it. start() runs a
+// coroutine up to its first wait, on the caller's stack; from then on only the scheduler resumes it, from
+// run(), never from within another coroutine: signal() puts a waiter into a queue, so nothing recurses and no
+// wake-up is lost.
 //
-// What happens when something goes. A suspended coroutine whose Task is destroyed is taken off its waiter first and is
-// never resumed. A waiter that goes is taken off epoll, the timers and the queue; events for it that were already
-// fetched carry an older generation of its slot and are passed over, even if the descriptor's number is in use again.
-// A coroutine left waiting on a destroyed waiter stays suspended until its Task goes. A scheduler must outlive its
-// waiters. What ends while its own code still runs is destroyed by defer(), after the round.
+// What happens when something goes. A suspended coroutine whose Task is destroyed is taken off its waiter
+// first and is never resumed. A waiter that goes is taken off epoll, the timers and the queue; events for it
+// that were already fetched carry an older generation of its slot and are passed over, even if the
+// descriptor's number is in use again. A coroutine left waiting on a destroyed waiter stays suspended until
+// its Task goes. A scheduler must outlive its waiters. What ends while its own code still runs is destroyed
+// by defer(), after the round.
 #pragma once
 
 #include <coroutine>
@@ -61,7 +63,8 @@
         if (handle_) handle_.destroy();
     }
 
-    // Told once when the coroutine has ended, with what it threw or null; it must not destroy the Task itself.
+    // Told once when the coroutine has ended, with what it threw or null; it must not destroy the Task
+    // itself.
     void start(std::function<void(std::exception_ptr)> ended) {
         handle_.promise().ended = std::move(ended);
         handle_.resume();
@@ -91,7 +94,9 @@
         Wait(const Wait&) = delete;
         Wait& operator=(const Wait&) = delete;
         ~Wait();
-        bool await_ready() const { return false; }  // always by way of the scheduler: nobody keeps the others out
+        bool await_ready() const {
+            return false;
+        }  // always by way of the scheduler: nobody keeps the others out
         void await_suspend(std::coroutine_handle<> handle);
         void await_resume() { waiter_->signalled_ = false; }
 
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -36,9 +36,9 @@
 std::optional<Endpoint> parse_endpoint(std::string_view text);  // "127.0.0.1:7070"
 std::string to_text(Endpoint endpoint);
 
-Fd listen_on(Endpoint endpoint);   // throws std::system_error
-Fd connect_to(Endpoint endpoint);  // under way, or empty if it failed at once
-int socket_error(const Fd& fd);    // of a connect that was under way; 0: it is up
+Fd listen_on(Endpoint endpoint);                     // throws std::system_error
+Fd connect_to(Endpoint endpoint);                    // under way, or empty if it failed at once
+int socket_error(const Fd& fd);                      // of a connect that was under way; 0: it is up
 std::pair<Fd, int> accept_from(const Fd& listener);  // or empty, with the error's number
 bool is_readable(const Fd& fd);                      // or a listener's queue is not empty
 void end_writing(const Fd& fd);
--- a/src/parse/frame.cpp
+++ b/src/parse/frame.cpp
@@ -36,10 +36,14 @@
     const auto score = next_word(line);
     result.report = next_word(line);
     if (result.id.empty() || score.empty() || result.report.empty() || !line.empty()) return std::nullopt;
-    if (end == "done") result.end = ResultEnd::kDone;
-    else if (end == "failed") result.end = ResultEnd::kFailed;
-    else if (end == "full") result.end = ResultEnd::kFull;
-    else return std::nullopt;
+    if (end == "done")
+        result.end = ResultEnd::kDone;
+    else if (end == "failed")
+        result.end = ResultEnd::kFailed;
+    else if (end == "full")
+        result.end = ResultEnd::kFull;
+    else
+        return std::nullopt;
     if (result.report == "-") result.report = {};
     result.value = rest.substr(line_end + 1);
     return result;
--- a/src/parse/frame.hpp
+++ b/src/parse/frame.hpp
@@ -1,4 +1,5 @@
-// The frames that front nodes and index servers exchange, read from bytes that come in any pieces, and written.
+// The frames that front nodes and index servers exchange, read from bytes that come in any pieces, and
+// written.
 #pragma once
 
 #include <cstdint>
--- a/src/parse/http.cpp
+++ b/src/parse/http.cpp
@@ -10,7 +10,8 @@
 
 bool is_token(std::string_view text) {
     return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-        return c > ' ' && c < 127 && std::string_view("\"(),/:;<=>?@[\\]{}").find(c) == std::string_view::npos;
+        return c > ' ' && c < 127 &&
+               std::string_view("\"(),/:;<=>?@[\\]{}").find(c) == std::string_view::npos;
     });
 }
 
@@ -184,8 +185,10 @@
     left_ -= piece.size();
     // A stream's body has no end: there only what has not been taken yet is held to the bound.
     const auto held = kind_ == Kind::kRequest ? body_bytes_ : body_.size();
-    if (held > bounds_.body) bad(413, "the body is too large");
-    else if (left_ == 0) go(step_ == Step::kLength ? Step::kDone : Step::kChunkEnd);
+    if (held > bounds_.body)
+        bad(413, "the body is too large");
+    else if (left_ == 0)
+        go(step_ == Step::kLength ? Step::kDone : Step::kChunkEnd);
     return piece.size();
 }
 
@@ -197,9 +200,12 @@
 
 void HttpReader::go(Step step) {
     step_ = step;
-    if (step == Step::kDone) state_ = State::kDone;
-    else if (step == Step::kBad) state_ = State::kBad;
-    else state_ = step == Step::kStart || step == Step::kHeaders ? State::kHead : State::kBody;
+    if (step == Step::kDone)
+        state_ = State::kDone;
+    else if (step == Step::kBad)
+        state_ = State::kBad;
+    else
+        state_ = step == Step::kStart || step == Step::kHeaders ? State::kHead : State::kBody;
 }
 
 const std::string* HttpReader::header(const std::string& lower_case_name) const {
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -130,8 +130,10 @@
     if (high_unit_ != 0 && c != '\\') reject("half a surrogate pair");
     if (static_cast<unsigned char>(c) < 0x20) reject("a control character in a string");
     if (c == '"') return true;
-    if (c == '\\') inside_ = Inside::kEscape;
-    else text_.push_back(c);
+    if (c == '\\')
+        inside_ = Inside::kEscape;
+    else
+        text_.push_back(c);
     return false;
 }
 
@@ -199,8 +201,8 @@
 }
 
 void JsonReader::close(char c) {
-    const bool end_due = expect_ == Expect::kCommaOrEnd ||
-                         expect_ == (c == ']' ? Expect::kValueOrEnd : Expect::kNameOrEnd);
+    const bool end_due =
+        expect_ == Expect::kCommaOrEnd || expect_ == (c == ']' ? Expect::kValueOrEnd : Expect::kNameOrEnd);
     if (levels_.empty() || !end_due || (c == ']') != (levels_.back().value.list() != nullptr)) {
         reject("an end is out of place");
     }
--- a/src/parse/json.hpp
+++ b/src/parse/json.hpp
@@ -1,4 +1,5 @@
-// JSON, read as its bytes come in any pieces into a tree of values, and strings written. Depth and size are bounded.
+// JSON, read as its bytes come in any pieces into a tree of values, and strings written. Depth and size are
+// bounded.
 #pragma once
 
 #include <cstddef>
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr Time kSecond = 10'000;
-// After SIGTERM new connections come for 0.4 s at the longest, and each time limit is 50 ms longer on sockets.
+// After SIGTERM new connections come for 0.4 s at the longest, and each time limit is 50 ms longer on
+// sockets.
 constexpr Time kAcceptOn = 4'500;
 constexpr Time kRetryAccept = 500;
 constexpr double kMostRemainingMs = 86'400'000;
@@ -20,9 +21,8 @@
 constexpr std::size_t kMostParts = 4096;
 
 bool is_name(std::string_view text) {  // stands in a line of words, before a dot and a number
-    return !text.empty() && text.size() <= kLongestName && std::all_of(text.begin(), text.end(), [](char c) {
-        return c > ' ' && c < 127;
-    });
+    return !text.empty() && text.size() <= kLongestName &&
+           std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
 }
 
 std::string decimal_seconds(Time time) {
@@ -62,7 +62,8 @@
         const bool out_of_descriptors = !take_all_queued();
         // Never spins on a full table: it asks again after a while, or when a connection has gone.
         const Time again = out_of_descriptors ? scheduler_.now() + kRetryAccept : net::kNever;
-        co_await waiter_->wait(out_of_descriptors ? 0U : unsigned{net::kRead}, std::min(accept_until_, again));
+        co_await waiter_->wait(out_of_descriptors ? 0U : unsigned{net::kRead},
+                               std::min(accept_until_, again));
     }
     take_all_queued();
     waiter_.reset();
@@ -97,7 +98,8 @@
             return false;
         }
         counters_.add(Count::kClientsAccepted);
-        auto& connection = *connections_.emplace_back(std::make_unique<Connection>(scheduler_, std::move(fd)));
+        auto& connection =
+            *connections_.emplace_back(std::make_unique<Connection>(scheduler_, std::move(fd)));
         most_at_once_ = std::max(most_at_once_, connections_.size());
         connection.task = serve(connection);
         connection.task.start([this, at = &connection](std::exception_ptr failure) {
@@ -107,9 +109,9 @@
     }
 }
 
-// Asks a connection to close, and there is room once it has: the one that has been idle for longest, else the one whose
-// request has been coming in for longest, since it is not taken before its last byte. Guards against clients that open
-// connections and say nothing, or never finish.
+// Asks a connection to close, and there is room once it has: the one that has been idle for longest, else the
+// one whose request has been coming in for longest, since it is not taken before its last byte. Guards
+// against clients that open connections and say nothing, or never finish.
 void ClientSide::make_room() {
     Connection* longest = nullptr;
     for (auto& connection : connections_) {
@@ -279,7 +281,8 @@
     const auto* text = json.member("query");
     const auto* parts = json.member("targets");
     if (text == nullptr || text->string() == nullptr) return "query is no text";
-    if (parts == nullptr || parts->list() == nullptr || parts->list()->empty()) return "targets is no list of parts";
+    if (parts == nullptr || parts->list() == nullptr || parts->list()->empty())
+        return "targets is no list of parts";
     if (parts->list()->size() > kMostParts) return "too many targets";
     asked.text = *text->string();
     std::set<int> shards;
@@ -294,7 +297,8 @@
             shard->value != std::floor(shard->value)) {
             return "a partition is out of range";
         }
-        if (weight == nullptr || !(weight->value > 0) || weight->value > 1.001) return "a share is no positive share";
+        if (weight == nullptr || !(weight->value > 0) || weight->value > 1.001)
+            return "a share is no positive share";
         PartArrival told;
         told.shard = static_cast<int>(shard->value);
         told.weight = weight->value;
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -26,8 +26,8 @@
                std::function<std::string()> print_counters);
 
     void start();
-    // Goes on accepting for as long as new connections may still come, then closes what is idle, answers what was
-    // taken, and is done when no connection is left.
+    // Goes on accepting for as long as new connections may still come, then closes what is idle, answers what
+    // was taken, and is done when no connection is left.
     void stop();
     bool done() const { return stopping_ && !accepting_ && connections_.empty(); }
     std::string print_gauges() const;
@@ -38,10 +38,10 @@
             : stream(scheduler, std::move(fd)), since(scheduler.now()) {}
         net::Stream stream;
         enum class Phase { kIdle, kReading, kBusy } phase = Phase::kReading;  // kIdle: between two requests
-        Time since = 0;        // of the phase
-        bool closing = false;  // to be closed when idle
+        Time since = 0;                                                       // of the phase
+        bool closing = false;                                                 // to be closed when idle
         bool evicted = false;  // to be closed unless a request is whole
-        Id multiget = 0;      // the open one
+        Id multiget = 0;       // the open one
         std::optional<Ending> ending;
         net::Task task;  // last: goes first
     };
--- a/src/service/descriptors.hpp
+++ b/src/service/descriptors.hpp
@@ -1,4 +1,5 @@
-// How the told number of descriptors is shared: a reserve for what every process holds, the rest for both sides.
+// How the told number of descriptors is shared: a reserve for what every process holds, the rest for both
+// sides.
 #pragma once
 
 #include <cstddef>
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -29,8 +29,10 @@
         if (!events_.empty()) due = 0;
         due = std::max(due, next_turn_);
         const Time now = scheduler_.now();
-        if (now >= due) turn(now);
-        else co_await waiter_.wait(0, due);
+        if (now >= due)
+            turn(now);
+        else
+            co_await waiter_.wait(0, due);
     }
 }
 
@@ -71,8 +73,9 @@
 }
 
 std::pair<Exchange::Asked, Id> Exchange::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
-    // With so many open further ones are turned away; the last one may go beyond, and parts that are in do not count:
-    // else a node with two of the largest multigets would refuse a third that the settings have room for.
+    // With so many open further ones are turned away; the last one may go beyond, and parts that are in do
+    // not count: else a node with two of the largest multigets would refuse a third that the settings have
+    // room for.
     const auto open_now = multigets_.size() + parts_open_;
     if (open_now >= most_open_) {
         counters_.add(Count::kNoRoom);
@@ -82,7 +85,7 @@
     // Guards the names of parts: two multigets of one name would share them at the index servers.
     if (names_.contains(asked.name)) return {Asked::kNameInUse, 0};
     counters_.add(Count::kTaken);
-    MultigetArrival told{new_id(),    ++last_number_,  asked.op_type,          asked.tenant,
+    MultigetArrival told{new_id(),     ++last_number_,  asked.op_type,         asked.tenant,
                          asked.repeat, asked.not_after, std::move(asked.parts)};
     auto& open = multigets_[told.id];
     open.name = asked.name;
@@ -148,8 +151,8 @@
         part->second.value = std::move(value);
     }
     const Time now = scheduler_.now();
-    // The server was told just now that this send is given up. What replaces it leaves a turn later, as after a call-off,
-    // or it could arrive first, on another connection, as a second copy.
+    // The server was told just now that this send is given up. What replaces it leaves a turn later, as after
+    // a call-off, or it could arrive first, on another connection, as a second copy.
     if (outcome == Outcome::kTimedOut) next_turn_ = std::max(next_turn_, now + turn_);
     happened(SendEnded{call.part, call.send, call.server, now - call.sent, outcome, std::move(load)});
 }
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -1,6 +1,6 @@
-// Where the client side, the server side and the list meet. It owns the decision module: it gathers what happens, gives
-// the module its turns and hands out what it decides. It knows neither HTTP nor frames: whoever takes multigets in
-// gives ask() a way to be told the ending, and whoever carries calls is a Caller.
+// Where the client side, the server side and the list meet. It owns the decision module: it gathers what
+// happens, gives the module its turns and hands out what it decides. It knows neither HTTP nor frames:
+// whoever takes multigets in gives ask() a way to be told the ending, and whoever carries calls is a Caller.
 #pragma once
 
 #include <cstddef>
@@ -24,7 +24,7 @@
     int tenant = 0;
     bool repeat = false;
     Time not_after = 0;
-    std::string text;  // what every part carries
+    std::string text;                // what every part carries
     std::vector<PartArrival> parts;  // their ids are given here
 };
 
@@ -49,9 +49,9 @@
 class Caller {
 public:
     virtual ~Caller() = default;
-    virtual void call(PartCall call) = 0;           // those of one turn are followed by flush()
+    virtual void call(PartCall call) = 0;  // those of one turn are followed by flush()
     virtual void flush() = 0;
-    virtual void call_off(Id part, int send) = 0;   // of one that is out
+    virtual void call_off(Id part, int send) = 0;  // of one that is out
     virtual void learn(ServerId server, net::Endpoint at, ServerState state, Time started) = 0;
 };
 
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -17,7 +17,8 @@
     Time longest = 0;
     for (const auto& type : stated.op_types()) {
         if (type.second_step_parts > 0) {
-            throw stated::BadStated("settings: family_info.follow_up asks for a second step, which this protocol lacks");
+            throw stated::BadStated(
+                "settings: family_info.follow_up asks for a second step, which this protocol lacks");
         }
         longest = std::max(longest, type.route_timeout);
     }
@@ -58,8 +59,8 @@
 void FrontDoor::stop() { clients_.stop(); }
 
 std::string FrontDoor::print_counters() const {
-    std::string out = counters_.print() + exchange_.print_gauges() + servers_.print_gauges() +
-                      clients_.print_gauges();
+    std::string out =
+        counters_.print() + exchange_.print_gauges() + servers_.print_gauges() + clients_.print_gauges();
     const std::filesystem::directory_iterator held("/proc/self/fd"), end;
     append_line(out, "descriptors_open", static_cast<std::uint64_t>(std::distance(held, end)) - 1);
     append_line(out, "longest_turn_us", static_cast<std::uint64_t>(scheduler_.longest_round()) * 100);
--- a/src/service/front_door.hpp
+++ b/src/service/front_door.hpp
@@ -1,5 +1,5 @@
-// One front node, put together: the exchange with the decision module, and the sides round it. To embed pinedoor, make a
-// scheduler and a FrontDoor, start it, and run the scheduler until done().
+// One front node, put together: the exchange with the decision module, and the sides round it. To embed
+// pinedoor, make a scheduler and a FrontDoor, start it, and run the scheduler until done().
 #pragma once
 
 #include <cstdio>
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -8,8 +8,8 @@
 namespace pinedoor::service {
 namespace {
 
-// A watch says something every 2 s; 6 s after the fact its news counts as told anyway, so that after so long a silence
-// there is time to ask again.
+// A watch says something every 2 s; 6 s after the fact its news counts as told anyway, so that after so long
+// a silence there is time to ask again.
 constexpr Time kSilence = 30'000;
 constexpr std::size_t kLongestLine = 256 * 1024;
 constexpr double kMostMs = 1e13;
@@ -136,7 +136,8 @@
     const auto place = number("cell", 0, kMostPlaces);
     const auto size = number("size", 0, 1e9);
     const auto started = number("up_since_ms", 0, kMostMs);
-    if (id == nullptr || id->empty() || address == nullptr || phase == nullptr || !place || !size || !started) {
+    if (id == nullptr || id->empty() || address == nullptr || phase == nullptr || !place || !size ||
+        !started) {
         return std::nullopt;
     }
     const auto at = net::parse_endpoint(*address);
@@ -148,10 +149,14 @@
     member.entry.place = static_cast<int>(*place);
     member.entry.size = *size;
     member.entry.started = static_cast<Time>(std::llround(*started * 10));
-    if (*phase == "Ready") member.entry.state = ServerState::kReady;
-    else if (*phase == "Terminating") member.entry.state = ServerState::kDraining;
-    else if (*phase == "Gone") member.entry.state = ServerState::kGone;
-    else return std::nullopt;
+    if (*phase == "Ready")
+        member.entry.state = ServerState::kReady;
+    else if (*phase == "Terminating")
+        member.entry.state = ServerState::kDraining;
+    else if (*phase == "Gone")
+        member.entry.state = ServerState::kGone;
+    else
+        return std::nullopt;
     return member;
 }
 
--- a/src/service/log.hpp
+++ b/src/service/log.hpp
@@ -1,5 +1,5 @@
-// The log: one line a call, through one function, so many a second at most, and none while its reader is stuck: a full
-// pipe must not hold up the loop.
+// The log: one line a call, through one function, so many a second at most, and none while its reader is
+// stuck: a full pipe must not hold up the loop.
 #pragma once
 
 #include <cstdio>
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -39,7 +39,8 @@
     for (auto& connection : server.connections) {
         connection->retired = connection->retired || moved;
         // A connection older than its server's process cannot live, though nothing may ever say so.
-        if (std::max(connection->opened, connection->read) < started) close(*connection, Count::kClosedRestarted);
+        if (std::max(connection->opened, connection->read) < started)
+            close(*connection, Count::kClosedRestarted);
         connection->stream.waiter().signal();
     }
 }
@@ -89,8 +90,9 @@
     connection->stream.waiter().signal();
 }
 
-// The fullest open connection with room, so that the others fall idle; one that is doubted takes nothing new, lest a
-// machine that vanished without word swallow part after part. A new one is opened only if none has room.
+// The fullest open connection with room, so that the others fall idle; one that is doubted takes nothing new,
+// lest a machine that vanished without word swallow part after part. A new one is opened only if none has
+// room.
 ServerSide::Connection* ServerSide::choose(Server& server, std::size_t parts) {
     Connection* best = nullptr;
     Connection* least = nullptr;
@@ -303,8 +305,9 @@
 
 void ServerSide::give_up(Sent& sent) {
     auto& connection = *sent.on;
-    // Whoever gave it up first, the module or the clock: it was out for as long as a new connection may take, and the
-    // connection said nothing. The next part asks a new one, which tells a machine that is gone from one that is slow.
+    // Whoever gave it up first, the module or the clock: it was out for as long as a new connection may take,
+    // and the connection said nothing. The next part asks a new one, which tells a machine that is gone from
+    // one that is slow.
     const bool silent = sent.stage == Stage::kWriting || connection.read < sent.written;
     if (silent && scheduler_.now() - sent.call.sent >= connect_timeout_) connection.doubted = true;
     auto frame = parse::begin_frame('C');
@@ -373,9 +376,7 @@
         case Stage::kWriting:
             if (!ran_out) return set_due(key, sent, sent.call.until);
             [[fallthrough]];
-        case Stage::kOut:
-            give_up(sent);
-            return end_send(key, Outcome::kTimedOut);
+        case Stage::kOut: give_up(sent); return end_send(key, Outcome::kTimedOut);
     }
 }
 
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -20,8 +20,8 @@
 class ServerSide : public Caller {
 public:
     ServerSide(net::Scheduler& scheduler, Exchange& exchange, Counters& counters, Log& log,
-               std::vector<std::string> report_fields, int parts_per_call, int streams,
-               Time connect_timeout, Time connection_idle, std::size_t most_connections);
+               std::vector<std::string> report_fields, int parts_per_call, int streams, Time connect_timeout,
+               Time connection_idle, std::size_t most_connections);
 
     void start();
     void call(PartCall call) override;
@@ -47,9 +47,9 @@
         std::deque<std::vector<SendKey>> waiting;  // calls of which no byte is written
         std::vector<SendKey> writing;              // the call whose frame is being written
         std::map<std::string, SendKey> out;        // by the part's name on the wire
-        std::deque<std::string> ended;             // names of parts given up here, which may still be answered
-        std::string commands;                      // frames that give parts up
-        std::string frame;                         // being written
+        std::deque<std::string> ended;  // names of parts given up here, which may still be answered
+        std::string commands;           // frames that give parts up
+        std::string frame;              // being written
         std::size_t written = 0;
         std::size_t sends = 0;  // in all three stages
         bool up = false;
--- a/src/stated/stated.cpp
+++ b/src/stated/stated.cpp
@@ -33,7 +33,8 @@
         if (split == std::string_view::npos) {
             throw BadStated("settings: line without '=': '" + std::string(line.substr(0, 80)) + "'");
         }
-        stated.values_.insert_or_assign(std::string(line.substr(0, split)), std::string(line.substr(split + 1)));
+        stated.values_.insert_or_assign(std::string(line.substr(0, split)),
+                                        std::string(line.substr(split + 1)));
     }
     return stated;
 }
@@ -45,8 +46,8 @@
     return stated;
 }
 
-// Nested JSON takes the form of the simulator's text: lists of plain values are joined by commas, lists of objects
-// get a count, and names are the path to a value.
+// Nested JSON takes the form of the simulator's text: lists of plain values are joined by commas, lists of
+// objects get a count, and names are the path to a value.
 void Stated::flatten(const std::string& path, const parse::Json& value) {
     if (const auto* members = value.members()) {
         for (const auto& [name, member] : *members) flatten(path.empty() ? name : path + '.' + name, member);
--- a/src/stated/stated.hpp
+++ b/src/stated/stated.hpp
@@ -1,4 +1,5 @@
-// Reads what is stated, as the simulator's text (path=value lines) or as JSON, and hands out each group of figures.
+// Reads what is stated, as the simulator's text (path=value lines) or as JSON, and hands out each group of
+// figures.
 #pragma once
 
 #include <cstddef>
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -196,8 +196,8 @@
 TEST_CASE("addresses are read and written") {
     CHECK(parse_endpoint("127.9.1.2:7070") == Endpoint{0x7f090102, 7070});
     CHECK(to_text({0x7f090102, 7070}) == "127.9.1.2:7070");
-    for (const char* text : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:70707", "127.0.0:1", "host:1",
-                             "127.0.0.1:1x"}) {
+    for (const char* text : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:70707", "127.0.0:1",
+                             "host:1", "127.0.0.1:1x"}) {
         CAPTURE(text);
         CHECK_FALSE(parse_endpoint(text));
     }
--- a/tests/parse_test.cpp
+++ b/tests/parse_test.cpp
@@ -34,8 +34,10 @@
             }
             default: seen = "more";
         }
-        if (piece == 0) first = seen;
-        else CHECK(seen == first);
+        if (piece == 0)
+            first = seen;
+        else
+            CHECK(seen == first);
     }
     return first;
 }
@@ -62,7 +64,8 @@
     CHECK(read_request("GET / HTTP/1.1\r\nspace : x\r\n\r\n") == "400 a malformed header");
     CHECK(read_request("GET / HTTP/1.1\r\nA: b\rc\r\n\r\n") == "400 a stray control character");
     const std::string post = "POST / HTTP/1.1\r\n";
-    CHECK(read_request(post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\n") == "400 contradictory lengths");
+    CHECK(read_request(post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\n") ==
+          "400 contradictory lengths");
     CHECK(read_request(post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n") ==
           "400 contradictory lengths");
     CHECK(read_request(post + "Content-Length: -3\r\n\r\n") == "400 a malformed length");
@@ -81,7 +84,8 @@
 TEST_CASE("an answer that streams gives up its body as it comes, and has no end of its own") {
     Reader reader(Reader::Kind::kResponse, {1000, 8});
     std::string got;
-    const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nline 1\r\n7\r\n\nline 2\r\n";
+    const std::string text =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nline 1\r\n7\r\n\nline 2\r\n";
     for (const char c : text) {
         reader.feed({&c, 1});
         got += reader.take_body();
@@ -133,10 +137,36 @@
 }
 
 TEST_CASE("JSON that is malformed, deep or long is refused where it goes wrong") {
-    for (const std::string text : {"", "{", "[1,]", "{\"a\"}", "{\"a\":1,}", "[1 2]", "{1:2}", "]", "[}", "01", "1.", "-",
-                             "+1", ".5", "1e", "nul", "True", "\"a", "\"\\x\"", "\"\\u12g4\"", "\"\\ud800\"",
-                             "\"\\udc00\"", "\"\\ud800x\"", "\"\t\"", "1e999", "[1]2", "{\"a\":1 \"b\":2}",
-                             "{\"a\":1,\"a\":2}", "'a'", "\"\\ud800\\n\""}) {
+    for (const std::string text : {"",
+                                   "{",
+                                   "[1,]",
+                                   "{\"a\"}",
+                                   "{\"a\":1,}",
+                                   "[1 2]",
+                                   "{1:2}",
+                                   "]",
+                                   "[}",
+                                   "01",
+                                   "1.",
+                                   "-",
+                                   "+1",
+                                   ".5",
+                                   "1e",
+                                   "nul",
+                                   "True",
+                                   "\"a",
+                                   "\"\\x\"",
+                                   "\"\\u12g4\"",
+                                   "\"\\ud800\"",
+                                   "\"\\udc00\"",
+                                   "\"\\ud800x\"",
+                                   "\"\t\"",
+                                   "1e999",
+                                   "[1]2",
+                                   "{\"a\":1 \"b\":2}",
+                                   "{\"a\":1,\"a\":2}",
+                                   "'a'",
+                                   "\"\\ud800\\n\""}) {
         CAPTURE(text);
         CHECK(read_json(text).starts_with("JSON, byte "));
     }
@@ -177,8 +207,8 @@
     CHECK(result->value == "va\nlue");
     CHECK(parse_result("a.1 full 0 -\n")->end == ResultEnd::kFull);
     CHECK(parse_result("a.1 failed 0 -\n")->report.empty());
-    for (const char* text : {"", "a.1 done 0 -", "a.1 done 0\n", "a.1 finished 0 -\n", " done 0 -\n",
-                             "a.1 done 0 - more\n"}) {
+    for (const char* text :
+         {"", "a.1 done 0 -", "a.1 done 0\n", "a.1 finished 0 -\n", " done 0 -\n", "a.1 done 0 - more\n"}) {
         CAPTURE(text);
         CHECK_FALSE(parse_result(text));
     }
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -38,8 +38,9 @@
     one.link.reply("t1.5", "done", "five");
     one.link.reply("t1.3", "done", "a \"quoted\" \\ value\n");
     one.link.reply("t1.4", "done");
-    CHECK(one.client.answer() == R"(200 {"whole":true,"results":[{"partition":3,"value":"a \"quoted\" \\ value\u000a"},)"
-                                 R"({"partition":4,"value":""},{"partition":5,"value":"five"}]})");
+    CHECK(one.client.answer() ==
+          R"(200 {"whole":true,"results":[{"partition":3,"value":"a \"quoted\" \\ value\u000a"},)"
+          R"({"partition":4,"value":""},{"partition":5,"value":"five"}]})");
     one.client.say(post("once", "t2", asks({7})));
     CHECK(one.link.frame() == "St2.7 7 1\nq");
     one.link.reply("t2.7", "done", "x");
@@ -100,7 +101,12 @@
     SUBCASE("an unknown letter") { one.link.say_frame("Zwhat"); }
     SUBCASE("a complaint") { one.link.say_frame("Fno"); }
     SUBCASE("an unknown end") { one.link.reply("t.1", "perhaps"); }
-    SUBCASE("an impossible length") { one.link.say(std::string("\xff\xff\xff\x7f" "R", 5)); }
+    SUBCASE("an impossible length") {
+        one.link.say(
+            std::string("\xff\xff\xff\x7f"
+                        "R",
+                        5));
+    }
     SUBCASE("no length") { one.link.say(std::string(8, '\0')); }
     CHECK(one.client.answer() == "500");
     CHECK(one.link.ended());
@@ -160,9 +166,11 @@
     CHECK(answer_to(post("never", "t", asks({1}))) == "400 an unknown op type\n");
     CHECK(answer_to(post("again", "t t", asks({1}))) == "400 X-Txn is missing or malformed\n");
     CHECK(answer_to(post("again", "t", asks({1}), 0)) == "400 X-Remaining-Ms is malformed\n");
-    CHECK(answer_to("POST /again HTTP/1.1\r\nX-Txn: t\r\nX-Org: acme, inc\r\n\r\n") == "400 X-Remaining-Ms is missing\n");
+    CHECK(answer_to("POST /again HTTP/1.1\r\nX-Txn: t\r\nX-Org: acme, inc\r\n\r\n") ==
+          "400 X-Remaining-Ms is missing\n");
     CHECK(answer_to("POST /again HTTP/1.1\r\nX-Txn: t\r\nX-Org: else\r\n\r\n") == "400 an unknown X-Org\n");
-    CHECK(answer_to("POST /again HTTP/1.1\r\nX-Txn: t\r\nX-Lane: once\r\n\r\n") == "400 X-Lane and the path differ\n");
+    CHECK(answer_to("POST /again HTTP/1.1\r\nX-Txn: t\r\nX-Lane: once\r\n\r\n") ==
+          "400 X-Lane and the path differ\n");
     CHECK(answer_to_body("{") == "400 JSON, byte 1: cut short\n");
     CHECK(answer_to_body(std::string(60'000, '[')) == "400 JSON, byte 17: nested too deep\n");
     CHECK(answer_to_body(std::string(70'000, ' ')) == "413 connection=close the body is too large\n");
@@ -171,7 +179,8 @@
     CHECK(answer_to_body(asks({12})) == "400 a partition is out of range\n");
     CHECK(answer_to_body(asks({-1})) == "400 a partition is out of range\n");
     CHECK(answer_to_body(asks({1, 1})) == "400 a partition stands twice\n");
-    CHECK(answer_to_body(R"({"targets":[{"partition":1,"share":0}],"query":"q"})") == "400 a share is no positive share\n");
+    CHECK(answer_to_body(R"({"targets":[{"partition":1,"share":0}],"query":"q"})") ==
+          "400 a share is no positive share\n");
     CHECK(answer_to_body(R"({"targets":[{"partition":1,"share":1,"route":"xyz"}],"query":"q"})") ==
           "400 route is not 16 hex digits\n");
     CHECK(one.ask("again", "t", {1, 2}) == "St.1 1 1\nqt.2 2 1\nq");
@@ -226,7 +235,8 @@
     CHECK(link.frame() == "St2.1 1 1\nq");
     link.reply("t2.1", "done", "x");
     CHECK(client.answer().starts_with("200 "));
-    watch.say(chunk("{\"revision\":4,\"complete\":false,\"members\":[{\"id\":\"bad\"}," + Listed{"s-3", first.at()}.text() + "]}\n"));
+    watch.say(chunk("{\"revision\":4,\"complete\":false,\"members\":[{\"id\":\"bad\"}," +
+                    Listed{"s-3", first.at()}.text() + "]}\n"));
     CHECK(program.counter_at("list_news", 4) == 4);
     CHECK(program.counter("list_entries_refused") == 1);
 }
@@ -271,7 +281,8 @@
     one.link.reply("t1.1", "done", "one");
     CHECK(one.client.answer() ==
           R"(200 connection=close {"whole":true,"results":[{"partition":1,"value":"one"}]})");
-    CHECK(late.answer() == R"(200 connection=close {"whole":true,"results":[{"partition":2,"value":"two"}]})");
+    CHECK(late.answer() ==
+          R"(200 connection=close {"whole":true,"results":[{"partition":2,"value":"two"}]})");
     CHECK(one.client.ended());
     late = Peer{};
     one.client = Peer{};
@@ -316,14 +327,18 @@
     std::vector<Listed> known;
     for (std::size_t i = 0; i < 8; ++i) known.push_back({"s-" + std::to_string(i), servers.at(i)});
     Program program(known, discovery.at());
-    for (int i = 0; i < 2; ++i) program.with("\"aim_ms\":2000", "\"aim_ms\":300");  // soon back from being set aside
-    program.with("\"max_attempts\":1", "\"max_attempts\":3").with("\"max_open\":40", "\"max_open\":400").start();
+    for (int i = 0; i < 2; ++i)
+        program.with("\"aim_ms\":2000", "\"aim_ms\":300");  // soon back from being set aside
+    program.with("\"max_attempts\":1", "\"max_attempts\":3")
+        .with("\"max_open\":40", "\"max_open\":400")
+        .start();
     for (int round = 0; round < 6; ++round) {
         std::vector<Peer> clients;
         for (int i = 0; i < 20; ++i) {
             clients.push_back(program.client());
             const auto name = std::to_string(round) + '-' + std::to_string(i);
-            clients.back().say(post(i % 2 == 0 ? "again" : "once", name, asks({i % 12, (i + 5) % 12}), 400 + 10 * i));
+            clients.back().say(
+                post(i % 2 == 0 ? "again" : "once", name, asks({i % 12, (i + 5) % 12}), 400 + 10 * i));
             if (i % 7 == 0) clients.back() = Peer{};
         }
         for (int i = 0; i < 20; ++i) {
@@ -335,13 +350,15 @@
             const auto value = "\"partition\":" + shard + ",\"value\":\"of " + name + '.' + shard + '"';
             const bool has_value = answer.find(value) != std::string::npos ||
                                    answer.find("\"partition\":" + shard + ',') == std::string::npos;
-            CHECK((answer.starts_with("503") || answer == "500" || (answer.starts_with("200 {") && has_value)));
+            CHECK(
+                (answer.starts_with("503") || answer == "500" || (answer.starts_with("200 {") && has_value)));
         }
     }
     CHECK(program.counter_at("open_multigets", 0) == 0);
     CHECK(program.counter_at("sends_out", 0) == 0);
     std::uint64_t outcomes = 0;
-    for (const char* name : {"returned", "error", "full", "timed_out", "no_connection", "reset", "cancelled", "never_sent"}) {
+    for (const char* name :
+         {"returned", "error", "full", "timed_out", "no_connection", "reset", "cancelled", "never_sent"}) {
         outcomes += program.counter(std::string("sends_") + name);
     }
     CHECK(outcomes == program.counter("sends"));
@@ -355,12 +372,16 @@
 TEST_CASE("a configuration that cannot be used ends the start with the faulty key") {
     OneServer one;
     std::string told;
-    SUBCASE("missing") { one.program.with("\"tick_ms\":1.0", "\"tock_ms\":1.0"), told = "settings: tick_ms is missing"; }
+    SUBCASE("missing") {
+        one.program.with("\"tick_ms\":1.0", "\"tock_ms\":1.0"), told = "settings: tick_ms is missing";
+    }
     SUBCASE("a second step") {
         one.program.with("\"follow_up\":[0,0]", "\"follow_up\":[0,2]");
         told = "settings: family_info.follow_up asks for a second step, which this protocol lacks";
     }
-    SUBCASE("no JSON") { one.program.with("{\"name\"", "{{\"name\""), told = "configuration: JSON, byte 2: "; }
+    SUBCASE("no JSON") {
+        one.program.with("{\"name\"", "{{\"name\""), told = "configuration: JSON, byte 2: ";
+    }
     one.program.start();
     CHECK(one.program.wait() == 1);
     CHECK(one.program.log().starts_with("pinedoor: " + told));
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -1,5 +1,5 @@
-// Starts the program, and plays clients, index servers and discovery to it on loopback, one step after the other. Each
-// step waits for what it needs, so nothing depends on how quick the machine is.
+// Starts the program, and plays clients, index servers and discovery to it on loopback, one step after the
+// other. Each step waits for what it needs, so nothing depends on how quick the machine is.
 #pragma once
 
 #include <arpa/inet.h>
@@ -77,7 +77,8 @@
         return take(count);
     }
     bool ended() {  // nothing more comes
-        while (held_.empty() && read_more()) {}
+        while (held_.empty() && read_more()) {
+        }
         return held_.empty();
     }
     void reset() {  // closes so that the other end sees a reset
@@ -101,7 +102,8 @@
         return body.empty() ? seen : seen + ' ' + body;
     }
 
-    // An index server's: the letter and the rest of the next frame, without how long the front node will wait.
+    // An index server's: the letter and the rest of the next frame, without how long the front node will
+    // wait.
     std::string frame() {
         const auto head = read_bytes(4);
         if (head.size() < 4) return "nothing";
@@ -162,7 +164,8 @@
     net::Endpoint at_;
 };
 
-// Index servers that answer, fail, turn away, keep silent, lie, break off and reset, by chance from a seed, until they go.
+// Index servers that answer, fail, turn away, keep silent, lie, break off and reset, by chance from a seed,
+// until they go.
 class Mischief {
 public:
     explicit Mischief(int servers) : listeners_(static_cast<std::size_t>(servers)) {
@@ -251,8 +254,9 @@
 
 inline const std::string kStream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-// The front node, with a deployment small enough for tests: one place, so every server holds all shards; parts are
-// sent once, so each outcome shows in the ending. Any text of the configuration may be replaced before start().
+// The front node, with a deployment small enough for tests: one place, so every server holds all shards;
+// parts are sent once, so each outcome shows in the ending. Any text of the configuration may be replaced
+// before start().
 class Program {
 public:
     explicit Program(const std::vector<Listed>& known, net::Endpoint discovery) {
@@ -263,13 +267,17 @@
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":)" +
                   list_object(1, true, known) + R"(,"settings":{
 "classes":[
-{"aim_ms":2000.0,"deadline_ms":4000.0,"effect":"free","late_worth":0.0,"memory_span_ms":0.0,"name":"again","worth":1.0},
-{"aim_ms":2000.0,"deadline_ms":4000.0,"effect":"single_shot","late_worth":0.0,"memory_span_ms":0.0,"name":"once","worth":1.0}],
+{"aim_ms":2000.0,"deadline_ms":4000.0,"effect":"free","late_worth":0.0,
+"memory_span_ms":0.0,"name":"again","worth":1.0},
+{"aim_ms":2000.0,"deadline_ms":4000.0,"effect":"single_shot","late_worth":0.0,
+"memory_span_ms":0.0,"name":"once","worth":1.0}],
 "clients":{"marks_retry":false},"discovery":"on_request","failure_domains":["a"],
-"family_info":{"follow_up":[0,0],"min_share":[0.5,1.0],"need_by_class":[1.0,1.0],"overhead_ms":1.0,"per_call":2,"places":1,
+"family_info":{"follow_up":[0,0],"min_share":[0.5,1.0],"need_by_class":[1.0,1.0],"overhead_ms":1.0,
+"per_call":2,"places":1,
 "shards":12,"short_worth":[0.9,0.9],"warm_keys":false,"width":1},
 "limits":{"cancel":true,"conn_idle_ms":30000.0,"connect_timeout_ms":250.0,"max_attempts":1,"max_open":40,
-"max_retry_after_ms":1250.0,"peers":false,"probes":false,"retry_after":true,"second_copies":true,"streams_per_conn":4},
+"max_retry_after_ms":1250.0,"peers":false,"probes":false,"retry_after":true,
+"second_copies":true,"streams_per_conn":4},
 "load_info":{"fields":["util"],"how":"inline"},"me":0,
 "parties":[{"fraction":1.0,"name":"acme, inc","quota_per_s":100.0}],
 "rules":{"cold_from":0.2,"fall_multiple":3.0,"grace_to_answer_ms":20.0,"must_ask_in_ms":1600.0,
@@ -332,7 +340,8 @@
         auto peer = client();
         peer.say("GET /counters HTTP/1.1\r\nConnection: close\r\n\r\n");
         const auto answer = peer.answer();
-        std::istringstream lines(answer.substr(std::min<std::size_t>(answer.size(), 21)));  // behind "200 connection=close "
+        std::istringstream lines(
+            answer.substr(std::min<std::size_t>(answer.size(), 21)));  // behind "200 connection=close "
         std::uint64_t value = 0;
         for (std::string word; lines >> word >> value;) {
             if (word == name) return value;
@@ -342,7 +351,8 @@
     // Waits until a counter has come to a value; what it was at last.
     std::uint64_t counter_at(const std::string& name, std::uint64_t value) {
         std::uint64_t seen = 0;
-        for (int tries = 0; tries < kPatienceSeconds * 100 && (seen = counter(name)) != value; ++tries) usleep(10'000);
+        for (int tries = 0; tries < kPatienceSeconds * 100 && (seen = counter(name)) != value; ++tries)
+            usleep(10'000);
         return seen;
     }
 
--- a/tests/stated_test.cpp
+++ b/tests/stated_test.cpp
@@ -11,10 +11,12 @@
 const std::string kSettings = R"({"classes":[{"aim_ms":2500.0,"deadline_ms":7500,"effect":"guarded",
 "memory_span_ms":5e3,"worth":3.0,"late_worth":0.25,"name":"one two"}],
 "family_info":{"follow_up":[0],"min_share":[0.6],"need_by_class":[1],"short_worth":[0.95],"warm_keys":true},
-"failure_domains":["north, far","south"],"limits":{"probes":true,"peers":false},"load_info":{"fields":["util","latency_ms"]}})";
+"failure_domains":["north, far","south"],"limits":{"probes":true,"peers":false},
+"load_info":{"fields":["util","latency_ms"]}})";
 const std::string kSameAsText =
     "classes.count=1\nclasses.0.aim_ms=2500.0\nclasses.0.deadline_ms=7500.0\nclasses.0.effect=guarded\n"
-    "classes.0.memory_span_ms=5000.0\nclasses.0.worth=3.0\nclasses.0.late_worth=0.25\nclasses.0.name=one two\n"
+    "classes.0.memory_span_ms=5000.0\nclasses.0.worth=3.0\nclasses.0.late_worth=0.25\nclasses.0.name=one "
+    "two\n"
     "family_info.follow_up=0\nfamily_info.min_share=0.6\nfamily_info.need_by_class=1.0\n"
     "family_info.short_worth=0.95\nfamily_info.warm_keys=true\nfailure_domains=north_ far,south\n"
     "limits.probes=true\nlimits.peers=false\nload_info.fields=util,latency_ms\n";
@@ -22,17 +24,19 @@
 std::string print(const Stated& stated) {
     std::string out;
     for (const auto& type : stated.op_types()) {
-        for (const double v : {static_cast<double>(type.latency_budget), static_cast<double>(type.route_timeout),
-                               static_cast<double>(type.repeat), static_cast<double>(type.dedup_window),
-                               type.importance, type.late_importance, type.least_share, type.whole_share,
-                               type.short_importance, static_cast<double>(type.second_step_parts)}) {
+        for (const double v :
+             {static_cast<double>(type.latency_budget), static_cast<double>(type.route_timeout),
+              static_cast<double>(type.repeat), static_cast<double>(type.dedup_window), type.importance,
+              type.late_importance, type.least_share, type.whole_share, type.short_importance,
+              static_cast<double>(type.second_step_parts)}) {
             out += std::to_string(v) + ' ';
         }
     }
     for (const auto& name : stated.op_type_names()) out += name + ' ';
     for (const auto& name : stated.zone_names()) out += name + ' ';
     const auto hints = stated.hint_terms();
-    for (const int v : {int{hints.probes}, int{hints.peers}, int{hints.warm_keys}, hints.latency_field, hints.busy_field}) {
+    for (const int v :
+         {int{hints.probes}, int{hints.peers}, int{hints.warm_keys}, hints.latency_field, hints.busy_field}) {
         out += std::to_string(v) + ' ';
     }
     return out;
@@ -57,7 +61,8 @@
 }
 
 TEST_CASE("the configuration's faults are told by their keys, and variables go before the file") {
-    const std::string good = R"({"name":"n3","listen":"127.0.0.4:7070","discovery":"127.2.0.1:8500","seed":"1f",
+    const std::string good =
+        R"({"name":"n3","listen":"127.0.0.4:7070","discovery":"127.2.0.1:8500","seed":"1f",
         "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{},"settings":{},"more":1})";
     const auto with = [&](const std::string& old_text, const std::string& new_text) {
         auto json = good;
@@ -68,14 +73,18 @@
     CHECK(complaint(good, "nowhere") == "configuration: listen is no address and port: 'nowhere'");
     CHECK(with("\"name\"", "\"nome\"") == "configuration: name is missing");
     CHECK(with("\"n3\"", "3") == "configuration: name is no text");
-    CHECK(with("127.2.0.1:8500", "127.2.0.1") == "configuration: discovery is no address and port: '127.2.0.1'");
+    CHECK(with("127.2.0.1:8500", "127.2.0.1") ==
+          "configuration: discovery is no address and port: '127.2.0.1'");
     CHECK(with("\"1f\"", "\"xyz\"") == "configuration: seed is not 1 to 16 hex digits");
     CHECK(with("\"sockets\":1024", "\"sockets\":8") == "configuration: limits.sockets is out of range: 8");
-    CHECK(with("\"sockets\":1024", "\"sockets\":\"many\"") == "configuration: limits.sockets is not a number");
+    CHECK(with("\"sockets\":1024", "\"sockets\":\"many\"") ==
+          "configuration: limits.sockets is not a number");
     CHECK(with("\"settings\":{}", "\"settings\":[]") == "settings: no object");
     CHECK(with("\"known\":{},", "") == "configuration: known is missing");
-    CHECK_THROWS_WITH(Launch::read([](const char*) -> const char* { return nullptr; }), "ROUTER_CONFIG is not set");
-    CHECK_THROWS_WITH(Launch::read([](const char*) { return "/nowhere"; }), "ROUTER_CONFIG: cannot read '/nowhere'");
+    CHECK_THROWS_WITH(Launch::read([](const char*) -> const char* { return nullptr; }),
+                      "ROUTER_CONFIG is not set");
+    CHECK_THROWS_WITH(Launch::read([](const char*) { return "/nowhere"; }),
+                      "ROUTER_CONFIG: cannot read '/nowhere'");
 }
 
 }  // namespace
