--- a/src/stated/launch.cpp
+++ b/src/stated/launch.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::size_t kLargestFile = std::size_t{8} << 20U;
-constexpr double kLeastSockets = 32;
-constexpr double kLeastMemoryMb = 16;
+constexpr double kLeastSockets = 20;  // the reserve, and two for each side
+constexpr double kLeastMemoryMb = 4;
 
 const parse::Json& member(const parse::Json& in, const std::string& path, const std::string& name) {
     const auto* found = in.member(name);
