SIGHUP reads the configuration again and moves to discovery's new address

Now main.cpp takes SIGHUP from before the node is ready; the front door reads the file through stated, without the variables, which hold what was told at the start and would hide the new address. A file that cannot be used leaves all as it was, is logged once with its key and read again every 0.1 s for 2 s, since it may be in the middle of its replacement. name, listen, limits and settings are named as needing a restart. ListWatch::move_to ends the calls to the old address without word to the module and asks the new one at once, for the whole list: whether revisions mean the same there is not known, and a changes-only answer could leave a stale list. Tests: both fail without the change (the program dies of the signal).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 // The front node as a program: signals, environment and exit are here, all else is in the library.
 #include <sys/signalfd.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
@@ -17,14 +18,25 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     sigprocmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more is no reason to end
     return pinedoor::net::Fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
 }
 
-pinedoor::net::Task stop_at_signal(pinedoor::net::Waiter& signals, pinedoor::service::FrontDoor& door) {
-    while (!signals.may(pinedoor::net::kRead)) co_await signals.wait(pinedoor::net::kRead);
-    door.stop();
+pinedoor::net::Task heed_signals(const pinedoor::net::Fd& fd, pinedoor::net::Waiter& signals,
+                                 pinedoor::service::FrontDoor& door) {
+    for (;;) {
+        co_await signals.wait(pinedoor::net::kRead);
+        signalfd_siginfo told{};
+        while (read(fd.get(), &told, sizeof told) == static_cast<ssize_t>(sizeof told)) {
+            if (told.ssi_signo == SIGHUP)
+                door.reload();
+            else
+                door.stop();
+        }
+        signals.used_up(pinedoor::net::kRead);
+    }
 }
 
 }  // namespace
@@ -38,8 +50,8 @@
         pinedoor::service::FrontDoor door(scheduler, launch, stderr);
         pinedoor::net::Waiter waiter(scheduler, signals.get());
         door.start();
-        auto stopping = stop_at_signal(waiter, door);
-        stopping.start({});
+        auto heeding = heed_signals(signals, waiter, door);
+        heeding.start({});
         scheduler.run([&] { return door.done(); });
         std::fputs(door.print_counters().c_str(), stderr);
         return 0;
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -53,6 +53,8 @@
 
 }  // namespace
 
+bool Json::operator==(const Json& other) const { return value_ == other.value_; }
+
 const Json* Json::member(std::string_view name) const {
     const auto* all = members();
     if (all == nullptr) return nullptr;
--- a/src/parse/json.hpp
+++ b/src/parse/json.hpp
@@ -25,6 +25,7 @@
     struct Number {
         double value = 0;
         std::string text;  // as written
+        bool operator==(const Number&) const = default;
     };
 
     Json() = default;
@@ -39,6 +40,7 @@
     List* list() { return std::get_if<List>(&value_); }
     const Members* members() const { return std::get_if<Members>(&value_); }
     Members* members() { return std::get_if<Members>(&value_); }
+    bool operator==(const Json& other) const;
     const Json* member(std::string_view name) const;  // null if there is none, or this is no object
 
 private:
--- a/src/service/counters.cpp
+++ b/src/service/counters.cpp
@@ -36,6 +36,8 @@
     "list_news",
     "list_failures",
     "list_entries_refused",
+    "reloads",
+    "reload_faults",
     "clients_accepted",
     "accept_failures",
     "turns",
--- a/src/service/counters.hpp
+++ b/src/service/counters.hpp
@@ -42,6 +42,8 @@
     kListNews,
     kListFailures,
     kListEntriesRefused,
+    kReloads,
+    kReloadFaults,
     kClientsAccepted,
     kAcceptFailures,
     kTurns,
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -7,6 +7,9 @@
 namespace pinedoor::service {
 namespace {
 
+constexpr int kReadings = 20;
+constexpr net::Moment kReadAgain = 1'000;
+
 FrontNode make_node(std::uint64_t seed, const stated::Stated& stated) {
     return FrontNode(seed, stated.node_place(), stated.op_types(), stated.shard_ring(), stated.send_terms(),
                      stated.further_send_terms(), stated.cold_terms(), stated.list_terms(),
@@ -34,8 +37,7 @@
 }  // namespace
 
 FrontDoor::FrontDoor(net::Scheduler& scheduler, const stated::Launch& launch, std::FILE* log)
-    : scheduler_(scheduler), known_(launch.known()), log_(log, scheduler, counters_),
-      descriptors_(launch.sockets()),
+    : scheduler_(scheduler), launch_(launch), log_(log, scheduler, counters_), descriptors_(launch.sockets()),
       exchange_(scheduler, make_node(launch.seed(), launch.settings()), launch.settings().node_place().turn,
                 launch.settings().most_open(), launch.settings().send_terms().most_sends, counters_, log_),
       servers_(scheduler, exchange_, counters_, log_, launch.settings().report_fields(),
@@ -46,18 +48,56 @@
       clients_(scheduler, exchange_, counters_, log_, launch.listen(), launch.settings().op_type_names(),
                launch.settings().tenant_names(), launch.settings().shards(),
                longest_timeout(launch.settings()), most_clients(launch, descriptors_),
-               [this] { return print_counters(); }) {}
+               [this] { return print_counters(); }),
+      reload_asked_(scheduler) {}
 
 void FrontDoor::start() {
     exchange_.join(servers_, list_);
     servers_.start();
-    list_.take_known(known_);
+    list_.take_known(launch_.known());
     exchange_.start();
     clients_.start();
+    reloading_ = reloading();
+    reloading_.start([this](std::exception_ptr failure) {
+        scheduler_.defer([failure] { std::rethrow_exception(failure); });
+    });
 }
 
 void FrontDoor::stop() { clients_.stop(); }
 
+void FrontDoor::reload() {
+    readings_ = kReadings;
+    reload_asked_.signal();
+}
+
+// A file that cannot be used may be in the middle of its replacement: it is read again for a while. Each
+// fault is logged once.
+net::Task FrontDoor::reloading() {
+    for (std::string told;;) {
+        co_await reload_asked_.wait(0, readings_ > 0 ? scheduler_.now() + kReadAgain : net::kNever);
+        if (readings_ == kReadings) told.clear();
+        const auto fault = take_file();
+        readings_ = fault.empty() ? 0 : readings_ - 1;
+        counters_.add(fault.empty() ? Count::kReloads : Count::kReloadFaults);
+        if (!fault.empty() && fault != told) log_.line("reload: " + fault + "; all stays as it was");
+        told = fault;
+    }
+}
+
+// What is wrong with the file, or nothing.
+std::string FrontDoor::take_file() {
+    try {
+        const auto newer = launch_.read_again();
+        list_.move_to(newer.discovery());
+        std::string line = "reload: discovery is at " + net::to_text(newer.discovery());
+        for (const auto& key : launch_.needing_restart(newer)) line += "; " + key + " needs a restart";
+        log_.line(line);
+        return {};
+    } catch (const std::exception& error) {
+        return error.what();
+    }
+}
+
 std::string FrontDoor::print_counters() const {
     std::string out =
         counters_.print() + exchange_.print_gauges() + servers_.print_gauges() + clients_.print_gauges();
--- a/src/service/front_door.hpp
+++ b/src/service/front_door.hpp
@@ -21,14 +21,18 @@
 public:
     FrontDoor(net::Scheduler& scheduler, const stated::Launch& launch, std::FILE* log);
 
-    void start();  // listens; throws if it cannot
-    void stop();   // finishes what was taken
+    void start();   // listens; throws if it cannot
+    void stop();    // finishes what was taken
+    void reload();  // reads the file again; a fault in it is logged, and leaves everything as it was
     bool done() const { return clients_.done(); }
     std::string print_counters() const;
 
 private:
+    net::Task reloading();
+    std::string take_file();
+
     net::Scheduler& scheduler_;
-    const parse::Json known_;
+    const stated::Launch launch_;
     Counters counters_;
     Log log_;
     const Descriptors descriptors_;
@@ -36,6 +40,9 @@
     ServerSide servers_;
     ListWatch list_;
     ClientSide clients_;
+    int readings_ = 0;  // of the file, still to be tried
+    net::Waiter reload_asked_;
+    net::Task reloading_;  // last: goes first
 };
 
 }  // namespace pinedoor::service
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -26,9 +26,25 @@
     if (!take_list(known, true)) log_.line("the known list cannot be used");
 }
 
-void ListWatch::watch() { start(watching_, true); }
+void ListWatch::watch() {
+    wanted_ = true;
+    start(watching_, true);
+}
 void ListWatch::fetch() { start(fetching_, false); }
 
+void ListWatch::move_to(net::Endpoint discovery) {
+    if (discovery == discovery_) return;
+    discovery_ = discovery;
+    // Whether revisions mean the same there is not known: without one the whole list is told, so nothing that
+    // changed while nobody was asked is missed.
+    revision_.clear();
+    const bool fetching = !fetching_.done();
+    watching_ = net::Task{};
+    fetching_ = net::Task{};
+    if (wanted_) watch();
+    if (fetching) fetch();
+}
+
 // A call that is under way goes on: it ends by itself, and then says so.
 void ListWatch::start(net::Task& task, bool stream) {
     if (!task.done()) return;
--- a/src/service/list_watch.hpp
+++ b/src/service/list_watch.hpp
@@ -22,6 +22,9 @@
     void take_known(const parse::Json& known);  // the list as this front node had it last
     void watch() override;
     void fetch() override;
+    // Discovery is at another address now. What is under way at the old one ends without word, and is asked
+    // for at the new one at once; the list held stays in use.
+    void move_to(net::Endpoint discovery);
 
 private:
     net::Task follow(bool stream);
@@ -34,9 +37,10 @@
     Exchange& exchange_;
     Counters& counters_;
     Log& log_;
-    const net::Endpoint discovery_;
+    net::Endpoint discovery_;
     const std::vector<std::string> zones_;
     std::string revision_;  // the last one held, as discovery wrote it
+    bool wanted_ = false;   // a watch, at some time
     net::Task watching_;
     net::Task fetching_;
 };
--- a/src/stated/launch.cpp
+++ b/src/stated/launch.cpp
@@ -56,13 +56,23 @@
 Launch Launch::read(const Variable& variable) {
     const char* path = variable("ROUTER_CONFIG");
     if (path == nullptr || *path == '\0') throw BadStated("ROUTER_CONFIG is not set");
+    return read_file(path, variable);
+}
+
+Launch Launch::read_again() const {
+    return read_file(path_, [](const char*) { return nullptr; });
+}
+
+Launch Launch::read_file(const std::string& path, const Variable& variable) {
     std::ifstream file(path, std::ios::binary);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf())) {
-        throw BadStated(std::string("ROUTER_CONFIG: cannot read '") + path + "'");
+        throw BadStated("ROUTER_CONFIG: cannot read '" + path + "'");
     }
     try {
-        return Launch(parse::parse_json(text.str(), {kLargestFile, 32}), variable);
+        Launch launch(parse::parse_json(text.str(), {kLargestFile, 32}), variable);
+        launch.path_ = path;
+        return launch;
     } catch (const parse::BadJson& error) {
         throw BadStated(std::string("configuration: ") + error.what());
     }
@@ -77,6 +87,16 @@
     const auto& limits = member(file, "limits", "limits");
     sockets_ = static_cast<std::size_t>(limit_of(limits, "sockets", kLeastSockets));
     memory_ = static_cast<std::size_t>(limit_of(limits, "memory_mb", kLeastMemoryMb) * (1 << 20));
+    // The seed is new with each start, and the known list is of the start alone.
+    for (const char* key : {"name", "listen", "limits", "settings"}) lasting_[key] = *file.member(key);
+}
+
+std::vector<std::string> Launch::needing_restart(const Launch& newer) const {
+    std::vector<std::string> keys;
+    for (const auto& [key, value] : lasting_) {
+        if (newer.lasting_.at(key) != value) keys.push_back(key);
+    }
+    return keys;
 }
 
 }  // namespace pinedoor::stated
--- a/src/stated/launch.hpp
+++ b/src/stated/launch.hpp
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
+#include <vector>
 
 #include "net/socket.hpp"
 #include "parse/json.hpp"
@@ -19,6 +21,12 @@
     static Launch read(const Variable& variable);
     Launch(const parse::Json& file, const Variable& variable);
 
+    // The same file, as it is now. The variables do not count any more: they hold what was told at the start,
+    // and would hide what the file now says.
+    Launch read_again() const;
+    // What the newer file says otherwise that this process cannot change while it runs.
+    std::vector<std::string> needing_restart(const Launch& newer) const;
+
     const std::string& name() const { return name_; }
     net::Endpoint listen() const { return listen_; }
     net::Endpoint discovery() const { return discovery_; }
@@ -29,6 +37,10 @@
     const Stated& settings() const { return settings_; }
 
 private:
+    static Launch read_file(const std::string& path, const Variable& variable);
+
+    std::string path_;
+    std::map<std::string, parse::Json> lasting_;  // keys of the file that hold for the process's life
     std::string name_;
     net::Endpoint listen_;
     net::Endpoint discovery_;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using namespace pinedoor::test;
+namespace net = pinedoor::net;
 
 // One index server and a discovery that is never asked in time; the program is started by go().
 struct OneServer {
@@ -290,6 +291,60 @@
     CHECK(one.program.log().find("multigets_answered_whole 2\n") != std::string::npos);
 }
 
+TEST_CASE("a reload asks at the new address for the whole list at once, and multigets notice nothing") {
+    Listener first, second, told, moved;
+    Program program({{"s-1", first.at()}}, moved.at());
+    program.with_variable(told.at());  // goes before the file at the start, and hides nothing later
+    auto client = program.start().client();
+    auto old_watch = told.accept();
+    old_watch.read_to("\r\n\r\n");
+    old_watch.say(kStream + chunk(list_object(7, false, {}) + "\n"));
+    CHECK(program.counter_at("list_news", 2) == 2);
+    client.say(post("again", "t1", asks({1})));
+    auto link = first.accept();
+    CHECK(link.frame() == "St1.1 1 1\nq");
+    program.kill(SIGHUP);
+    program.kill(SIGHUP);
+    auto watch = moved.accept();
+    CHECK(watch.read_to("\r\n") == "GET /discovery/hosts?stream=1 HTTP/1.1\r\n");
+    CHECK(old_watch.ended());
+    watch.say(kStream + chunk(list_object(8, true, {{"s-2", second.at()}}) + "\n"));
+    CHECK(program.counter_at("list_news", 3) == 3);
+    link.reply("t1.1", "done", "one");
+    CHECK(client.answer() == R"(200 {"whole":true,"results":[{"partition":1,"value":"one"}]})");
+    client.say(post("again", "t2", asks({1})));
+    link = second.accept();
+    CHECK(link.frame() == "St2.1 1 1\nq");
+    link.reply("t2.1", "done", "two");
+    CHECK(client.answer().starts_with("200 "));
+    CHECK(program.counter("list_failures") == 0);
+    program.kill(SIGTERM);
+    program.kill(SIGHUP);
+    client = Peer{};
+    CHECK(program.wait() == 0);
+}
+
+TEST_CASE("a file that cannot be used changes nothing, is read again soon, and names what needs a restart") {
+    Listener server, discovery, moved;
+    Program program({{"s-1", server.at()}}, discovery.at());
+    program.start().client();
+    auto watch = discovery.accept();
+    watch.read_to("\r\n\r\n");
+    program.with(net::to_text(discovery.at()), "nowhere").rewrite();
+    program.kill(SIGHUP);
+    while (program.counter("reload_faults") == 0) usleep(1'000);
+    CHECK(program.counter("reloads") == 0);
+    program.with("nowhere", net::to_text(moved.at())).with("\"sockets\":1024", "\"sockets\":512").rewrite();
+    auto again = moved.accept();
+    CHECK(again.read_to(" HTTP") == "GET /discovery/hosts?stream=1 HTTP");
+    CHECK(program.counter("reloads") == 1);
+    const auto log = program.log();
+    CHECK(log.find("reload: configuration: discovery is no address and port: 'nowhere'; all stays") !=
+          std::string::npos);
+    CHECK(log.find("reload: discovery is at " + net::to_text(moved.at()) + "; limits needs a restart\n") !=
+          std::string::npos);
+}
+
 TEST_CASE("after a kill it starts from nothing on the same address at once") {
     OneServer one;
     one.go();
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -297,14 +297,20 @@
         config_.replace(at, old_text.size(), new_text);
         return *this;
     }
+    Program& with_variable(net::Endpoint discovery) {
+        discovery_ = net::to_text(discovery);
+        return *this;
+    }
+    void rewrite() const { std::ofstream(folder_ + "/config.json") << config_; }
     Program& start() {
         char folder[] = "/tmp/pinedoor-test-XXXXXX";
         if (folder_.empty()) folder_ = mkdtemp(folder);
-        std::ofstream(folder_ + "/config.json") << config_;
+        rewrite();
         pid_ = fork();
         if (pid_ == 0) {
             setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
             for (const char* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) unsetenv(name);
+            if (!discovery_.empty()) setenv("ROUTER_DISCOVERY", discovery_.c_str(), 1);
             const int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
             dup2(log, 2);
             execl(PINEDOOR_PROGRAM, PINEDOOR_PROGRAM, static_cast<char*>(nullptr));
@@ -360,6 +366,7 @@
     net::Endpoint at_;
     std::string config_;
     std::string folder_;
+    std::string discovery_;
     pid_t pid_ = 0;
 };
 
