A spoilt answer is one error, and takes no server for one that died

A probe that printed what comes on the sockets showed 93 spoilt answers: noise, lengths of 0, 3, 3 GB and -4, unknown letters, ends and ids; each ended its connection with up to 24 parts out as resets. Now the send that the spoilt answer names (else the one out longest) is an error, the others are given up with the connection and sent elsewhere. Ruled out: second copies and load reports cost little alone; they are taken as what they are, since each closed a connection: a second copy right after an answer is dropped, an unreadable report is none. Only whole, good frames show life; a frame that is not whole in a connect time-out is spoilt; a value that is no text (control characters, bad UTF-8) is spoilt. Every other kind of closed connection is judged as before.

--- a/src/parse/frame.cpp
+++ b/src/parse/frame.cpp
@@ -1,5 +1,7 @@
 #include "parse/frame.hpp"
 
+#include "parse/json.hpp"
+
 namespace pinedoor::parse {
 namespace {
 
@@ -34,8 +36,9 @@
     result.id = next_word(line);
     const auto end = next_word(line);
     const auto score = next_word(line);
-    result.report = next_word(line);
-    if (result.id.empty() || score.empty() || result.report.empty() || !line.empty()) return std::nullopt;
+    result.report = line;  // whether it can be read is another matter than the answer
+    result.value = rest.substr(line_end + 1);
+    if (result.id.empty() || score.empty() || !is_text(result.value)) return std::nullopt;
     if (end == "done")
         result.end = ResultEnd::kDone;
     else if (end == "failed")
@@ -45,7 +48,6 @@
     else
         return std::nullopt;
     if (result.report == "-") result.report = {};
-    result.value = rest.substr(line_end + 1);
     return result;
 }
 
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -224,6 +224,26 @@
     }
 }
 
+bool is_text(std::string_view bytes) {
+    while (!bytes.empty()) {
+        const auto first = static_cast<unsigned char>(bytes.front());
+        std::size_t size = 1;
+        if (first >= 0x80) size = first >= 0xf0 ? 4 : first >= 0xe0 ? 3 : 2;
+        if (first < 0x20 || first == 0x7f || (first >= 0x80 && first < 0xc2) || first > 0xf4) return false;
+        if (bytes.size() < size) return false;
+        std::uint32_t point = size == 1 ? first : first & (0x7fU >> size);
+        for (std::size_t i = 1; i < size; ++i) {
+            const auto byte = static_cast<unsigned char>(bytes[i]);
+            if ((byte & 0xc0U) != 0x80) return false;
+            point = (point << 6U) | (byte & 0x3fU);
+        }
+        const bool overlong = (size == 3 && point < 0x800) || (size == 4 && point < 0x10000);
+        if (overlong || point > 0x10ffff || (point >= 0xd800 && point < 0xe000)) return false;
+        bytes.remove_prefix(size);
+    }
+    return true;
+}
+
 Json parse_json(std::string_view text, JsonBounds bounds) {
     JsonReader reader(bounds);
     reader.feed(text);
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t kLargestFrame = 128 * 1024;  // a value may be as long as a whole answer's body
 constexpr std::size_t kEndedKept = 1024;           // names of given up parts, for each connection
 constexpr Time kTicksPerMs = 10;
+constexpr double kMostReported = 1e9;
 
 }  // namespace
 
@@ -151,8 +152,12 @@
         // Nothing is out on it any more, and it has said nothing since the last send timed out.
         if (connection.doubted && !connection.busy()) close(connection, Count::kClosedDoubted);
         if (connection.retired && !connection.busy()) close(connection, Count::kClosedIdle);
+        // What begins a frame and never ends it would swallow answer after answer.
+        const Time whole_by =
+            connection.begun == net::kNever ? net::kNever : connection.begun + connect_timeout_;
+        if (scheduler_.now() >= whole_by) take_spoilt(connection, {});
         if (connection.ending) break;
-        co_await waiter.wait(net::kRead | (writing ? net::kWrite : 0U), idle_at);
+        co_await waiter.wait(net::kRead | (writing ? net::kWrite : 0U), std::min(idle_at, whole_by));
     }
 }
 
@@ -164,29 +169,59 @@
         case net::Stream::Got::kBroken: return false;
         case net::Stream::Got::kBytes: break;
     }
-    connection.used = connection.read = scheduler_.now();
-    connection.doubted = false;
+    connection.used = scheduler_.now();
     auto& buffer = connection.stream.buffer();
     for (;;) {
         const auto frame = parse::scan_frame(buffer.held(), kLargestFrame);
-        if (frame.state == parse::FrameScan::State::kMore) return true;
+        if (frame.state == parse::FrameScan::State::kMore) {
+            if (buffer.empty()) connection.begun = net::kNever;
+            if (!buffer.empty() && connection.begun == net::kNever) connection.begun = connection.used;
+            return true;
+        }
         const bool good = frame.state == parse::FrameScan::State::kFrame && frame.letter == 'R' &&
                           take_result(connection, frame.rest);
         if (!good) {
-            counters_.add(Count::kBadFrames);
-            log_.line("bad frame from " + net::to_text(connection.server.at));
-            close(connection, Count::kClosedBadFrame);
+            take_spoilt(connection, frame.rest);
             return false;
         }
+        // Only whole, good frames show life: bytes that never make one must not keep a connection in use.
+        connection.read = connection.used;
+        connection.doubted = false;
+        connection.begun = net::kNever;
         buffer.drop(frame.size);
     }
 }
 
+// What cannot be read is one failed answer: to the send it names, else to the one that is out for longest.
+// Nothing more can be read there; what else is out goes with the connection, which tells nothing about its
+// server. Guards against taking a server that spoilt one answer of many for one that died and comes back
+// cold.
+void ServerSide::take_spoilt(Connection& connection, std::string_view rest) {
+    counters_.add(Count::kBadFrames);
+    log_.line("bad frame from " + net::to_text(connection.server.at));
+    close(connection, Count::kClosedBadFrame);
+    const auto named = connection.out.find(std::string(rest.substr(0, rest.find(' '))));
+    const auto rank = [this](const auto& one) {
+        const auto& sent = sent_.at(one.second);
+        return std::pair{sent.stage != Stage::kOut, sent.written};
+    };
+    const auto oldest = std::min_element(connection.out.begin(), connection.out.end(),
+                                         [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    const auto which = named != connection.out.end() ? named : oldest;
+    if (which == connection.out.end() || sent_.at(which->second).stage != Stage::kOut) return;
+    end_send(which->second, Outcome::kError);
+}
+
 bool ServerSide::take_result(Connection& connection, std::string_view rest) {
     const auto result = parse::parse_result(rest);
     if (!result) return false;
     const auto at = connection.out.find(std::string(result->id));
     if (at == connection.out.end()) {
+        // A second copy right after a good answer takes nothing from it.
+        if (std::exchange(connection.answered, {}) == result->id) {
+            counters_.add(Count::kLateResults);
+            return true;
+        }
         auto& ended = connection.ended;
         const auto late = std::find(ended.begin(), ended.end(), result->id);
         if (late == ended.end()) return false;
@@ -196,6 +231,7 @@
     }
     const auto key = at->second;
     if (sent_.at(key).stage != Stage::kOut) return false;  // answered before it was asked
+    connection.answered = result->id;
     const auto outcome = result->end == parse::ResultEnd::kDone   ? Outcome::kReturned
                          : result->end == parse::ResultEnd::kFull ? Outcome::kFull
                                                                   : Outcome::kError;
@@ -203,20 +239,23 @@
     return true;
 }
 
+// Nothing, unless each field is there with a number: what is missing must not pass for an idle server.
 std::vector<double> ServerSide::read_report(std::string_view report) const {
-    if (report.empty()) return {};
     std::vector<double> values(report_fields_.size());
+    std::size_t found = 0;
     while (!report.empty()) {
         const auto field = report.substr(0, report.find(','));
         report.remove_prefix(std::min(field.size() + 1, report.size()));
-        const auto split = field.find('=');
-        if (split == std::string_view::npos) continue;
+        const auto split = std::min(field.find('='), field.size() - 1);
         const auto name = std::find(report_fields_.begin(), report_fields_.end(), field.substr(0, split));
         if (name == report_fields_.end()) continue;
         auto& value = values[static_cast<std::size_t>(name - report_fields_.begin())];
-        std::from_chars(field.data() + split + 1, field.data() + field.size(), value);
+        const auto* last = field.data() + field.size();
+        const auto [end, error] = std::from_chars(field.data() + split + 1, last, value);
+        if (error != std::errc{} || end != last || !(value >= 0 && value <= kMostReported)) return {};
+        ++found;
     }
-    return values;
+    return found == values.size() ? values : std::vector<double>{};
 }
 
 void ServerSide::write_frames(Connection& connection) {
@@ -387,17 +426,21 @@
     connection.stream.waiter().signal();
 }
 
-// The connection is over: what was not written whole has never run, the rest may have.
+// The connection is over: what was not written whole has never run, the rest may have. What this end closed
+// while its server lives was given up here.
 void ServerSide::finish(Connection& connection) {
     connection.ending = true;
     counters_.add(connection.cause);
+    const bool given_up = connection.cause == Count::kClosedBadFrame;
+    const auto unwritten = given_up ? Outcome::kNeverSent : Outcome::kNoConnection;
     for (const auto& call : std::exchange(connection.waiting, {})) {
-        for (const auto& key : call) end_send(key, Outcome::kNoConnection);
+        for (const auto& key : call) end_send(key, unwritten);
     }
     for (const auto& key : std::exchange(connection.writing, {})) {
-        if (sent_.contains(key)) end_send(key, Outcome::kNoConnection);
+        if (sent_.contains(key)) end_send(key, unwritten);
     }
-    while (!connection.out.empty()) end_send(connection.out.begin()->second, Outcome::kReset);
+    const auto written = given_up ? Outcome::kCancelled : Outcome::kReset;
+    while (!connection.out.empty()) end_send(connection.out.begin()->second, written);
     must_hold(connection.sends == 0, counters_);
     scheduler_.defer([this, at = &connection] {
         std::erase_if(at->server.connections, [at](const auto& each) { return each.get() == at; });
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -58,9 +58,11 @@
         bool retired = false;  // the server is listed at another address now
         Count cause = Count::kClosedByServer;
         Time opened = 0;
-        Time used = 0;  // when last read from or written to
-        Time read = 0;
-        net::Task task;  // last: goes first
+        Time used = 0;             // when last read from or written to
+        Time read = 0;             // when a good frame last came
+        Time begun = net::kNever;  // when the frame that is still coming in began
+        std::string answered;      // the part whose answer came last
+        net::Task task;            // last: goes first
     };
     struct Server {
         net::Endpoint at;
@@ -86,6 +88,7 @@
     Connection* open(Server& server);
     bool read_frames(Connection& connection);
     bool take_result(Connection& connection, std::string_view rest);
+    void take_spoilt(Connection& connection, std::string_view rest);
     std::vector<double> read_report(std::string_view report) const;
     void write_frames(Connection& connection);
     void fill_frame(Connection& connection);
