A connection closed in order, or in the middle of an answer, is no death of its server

Checked: a dying process has its connections reset (PROTOCOL); a close in order reads as an end, also when our own write was answered by a reset after it. So an end, or a frame begun and not ended, is one failed answer, and what else is out is given up; what is unwritten was never sent. Answers that came before a write broke are still read. Test: a spoilt answer fails one send, broken off and closed in order.

--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -141,10 +141,17 @@
         connection.up = !connection.ending;
     }
     connection.used = scheduler_.now();
+    auto got = net::Stream::Got::kNothing;
+    const auto over = [&] { return got == net::Stream::Got::kEnd || got == net::Stream::Got::kBroken; };
     while (!connection.ending) {
-        if (waiter.may(net::kRead) && !read_frames(connection)) break;
+        if (waiter.may(net::kRead)) got = read_frames(connection);
+        if (over() || connection.ending) break;
         write_frames(connection);
-        if (stream.broken()) break;
+        if (stream.broken()) {  // what had come before it broke counts
+            do got = read_frames(connection);
+            while (got == net::Stream::Got::kBytes && !connection.ending);
+            break;
+        }
         if (connection.ending) break;
         const bool writing = connection.written < connection.frame.size();
         const Time idle_at = connection.busy() ? net::kNever : connection.used + idle_;
@@ -159,16 +166,16 @@
         if (connection.ending) break;
         co_await waiter.wait(net::kRead | (writing ? net::kWrite : 0U), std::min(idle_at, whole_by));
     }
+    // A process that dies has its connections reset. One that closes in order, or in the middle of an answer,
+    // lives, though what is out there is lost: else each close that crosses a call would make a server cold.
+    if (!connection.ending && (got == net::Stream::Got::kEnd || connection.begun != net::kNever)) {
+        lose(connection, {});
+    }
 }
 
-// False when the connection has ended or must end.
-bool ServerSide::read_frames(Connection& connection) {
-    switch (connection.stream.read()) {
-        case net::Stream::Got::kNothing: return true;
-        case net::Stream::Got::kEnd:
-        case net::Stream::Got::kBroken: return false;
-        case net::Stream::Got::kBytes: break;
-    }
+net::Stream::Got ServerSide::read_frames(Connection& connection) {
+    const auto got = connection.stream.read();
+    if (got != net::Stream::Got::kBytes) return got;
     connection.used = scheduler_.now();
     auto& buffer = connection.stream.buffer();
     for (;;) {
@@ -176,13 +183,13 @@
         if (frame.state == parse::FrameScan::State::kMore) {
             if (buffer.empty()) connection.begun = net::kNever;
             if (!buffer.empty() && connection.begun == net::kNever) connection.begun = connection.used;
-            return true;
+            return got;
         }
         const bool good = frame.state == parse::FrameScan::State::kFrame && frame.letter == 'R' &&
                           take_result(connection, frame.rest);
         if (!good) {
             take_spoilt(connection, frame.rest);
-            return false;
+            return got;
         }
         // Only whole, good frames show life: bytes that never make one must not keep a connection in use.
         connection.read = connection.used;
@@ -192,14 +199,19 @@
     }
 }
 
-// What cannot be read is one failed answer: to the send it names, else to the one that is out for longest.
-// Nothing more can be read there; what else is out goes with the connection, which tells nothing about its
-// server. Guards against taking a server that spoilt one answer of many for one that died and comes back
-// cold.
 void ServerSide::take_spoilt(Connection& connection, std::string_view rest) {
     counters_.add(Count::kBadFrames);
     log_.line("bad frame from " + net::to_text(connection.server.at));
     close(connection, Count::kClosedBadFrame);
+    lose(connection, rest);
+}
+
+// The connection is of no further use, though its server lives. That is one failed answer: to the send that
+// is named, else to the one that is out for longest. What else is out goes with the connection, which tells
+// nothing about its server. Guards against taking a server that spoilt one answer of many, or closed a
+// connection under a call, for one that died and comes back cold.
+void ServerSide::lose(Connection& connection, std::string_view rest) {
+    connection.lost = true;
     const auto named = connection.out.find(std::string(rest.substr(0, rest.find(' '))));
     const auto rank = [this](const auto& one) {
         const auto& sent = sent_.at(one.second);
@@ -426,20 +438,18 @@
     connection.stream.waiter().signal();
 }
 
-// The connection is over: what was not written whole has never run, the rest may have. What this end closed
-// while its server lives was given up here.
+// The connection is over: what was not written whole has never run, the rest may have.
 void ServerSide::finish(Connection& connection) {
     connection.ending = true;
     counters_.add(connection.cause);
-    const bool given_up = connection.cause == Count::kClosedBadFrame;
-    const auto unwritten = given_up ? Outcome::kNeverSent : Outcome::kNoConnection;
+    const auto unwritten = connection.lost ? Outcome::kNeverSent : Outcome::kNoConnection;
     for (const auto& call : std::exchange(connection.waiting, {})) {
         for (const auto& key : call) end_send(key, unwritten);
     }
     for (const auto& key : std::exchange(connection.writing, {})) {
         if (sent_.contains(key)) end_send(key, unwritten);
     }
-    const auto written = given_up ? Outcome::kCancelled : Outcome::kReset;
+    const auto written = connection.lost ? Outcome::kCancelled : Outcome::kReset;
     while (!connection.out.empty()) end_send(connection.out.begin()->second, written);
     must_hold(connection.sends == 0, counters_);
     scheduler_.defer([this, at = &connection] {
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -55,6 +55,7 @@
         bool up = false;
         bool ending = false;
         bool doubted = false;  // a send was given up here, and nothing has been read since it was written
+        bool lost = false;     // no further use, though its server lives
         bool retired = false;  // the server is listed at another address now
         Count cause = Count::kClosedByServer;
         Time opened = 0;
@@ -86,9 +87,10 @@
     void assign(Server& server, std::vector<PartCall> calls);
     Connection* choose(Server& server, std::size_t parts);
     Connection* open(Server& server);
-    bool read_frames(Connection& connection);
+    net::Stream::Got read_frames(Connection& connection);
     bool take_result(Connection& connection, std::string_view rest);
     void take_spoilt(Connection& connection, std::string_view rest);
+    void lose(Connection& connection, std::string_view rest);
     std::vector<double> read_report(std::string_view report) const;
     void write_frames(Connection& connection);
     void fill_frame(Connection& connection);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -126,6 +126,11 @@
     CHECK(one.link.frame() == "Su.3 3 1\nq");
     SUBCASE("named") { one.link.reply("t.1", "perhaps"); }
     SUBCASE("noise") { one.link.say("noise that names nobody"); }
+    SUBCASE("broken off") {
+        one.link.say(std::string("\x20\0\0\0Rt.1 done", 13));
+        one.link.reset();
+    }
+    SUBCASE("closed in order") { one.link = Peer{}; }
     CHECK(one.client.answer() == "503 retry-after=1.2500");
     CHECK(other.answer() == "503 retry-after=1.2500");
     CHECK(one.program.counter("sends_error") == 1);
