Clients: first requests have 2.5 s from connecting, who never asked goes first, numbers are strict

Now those leave at once, and first; then those that did not come up with a request within a connect time-out; then idle ones. What is unread before a close is read up to the longest request's size, no longer for a second at full speed. A connection without an open request is closed after 2 s. Faults close the connection: they came again at full speed. Shares must sum to 1 (a probe saw 1.000002 at most from usual clients), X-Remaining-Ms is digits only, the query UTF-8 of 16 KiB at most, HTTP/1.0 may not be chunked.

--- a/src/parse/http.cpp
+++ b/src/parse/http.cpp
@@ -157,7 +157,7 @@
         return go(Step::kDone);
     }
     if (coding != nullptr) {
-        if (length != nullptr) return bad(400, "contradictory lengths");
+        if (length != nullptr || minor_version_ == 0) return bad(400, "contradictory lengths");
         if (!same_word(*coding, "chunked")) return bad(501, "an unknown transfer coding");
         return go(Step::kChunkSize);
     }
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -1,5 +1,6 @@
 #include "parse/json.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -225,11 +226,17 @@
 }
 
 bool is_text(std::string_view bytes) {
+    return is_utf8(bytes) && std::none_of(bytes.begin(), bytes.end(), [](char c) {
+               return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+           });
+}
+
+bool is_utf8(std::string_view bytes) {
     while (!bytes.empty()) {
         const auto first = static_cast<unsigned char>(bytes.front());
         std::size_t size = 1;
         if (first >= 0x80) size = first >= 0xf0 ? 4 : first >= 0xe0 ? 3 : 2;
-        if (first < 0x20 || first == 0x7f || (first >= 0x80 && first < 0xc2) || first > 0xf4) return false;
+        if ((first >= 0x80 && first < 0xc2) || first > 0xf4) return false;
         if (bytes.size() < size) return false;
         std::uint32_t point = size == 1 ? first : first & (0x7fU >> size);
         for (std::size_t i = 1; i < size; ++i) {
--- a/src/parse/json.hpp
+++ b/src/parse/json.hpp
@@ -88,7 +88,8 @@
     std::uint32_t high_unit_ = 0;  // first half of a pair
 };
 
-// UTF-8 without control characters: what may stand in a string.
+bool is_utf8(std::string_view bytes);
+// UTF-8 without control characters: what may stand in a string as it is.
 bool is_text(std::string_view bytes);
 Json parse_json(std::string_view text, JsonBounds bounds = {});
 void append_json_string(std::string& out, std::string_view text);
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -15,10 +15,22 @@
 // After SIGTERM new connections come for 0.4 s at the longest, and each time limit is 50 ms longer on
 // sockets.
 constexpr Time kAcceptOn = 4'500;
+// What comes up to 0.7 s after SIGTERM is given its whole time: until then clients may go on using their
+// connections, since the other front nodes may be starting just now.
+constexpr Time kServeOn = 6'500;
 constexpr Time kRetryAccept = 500;
-constexpr double kMostRemainingMs = 86'400'000;
+// A client is owed an error or a close within 3 s of connecting, whatever it does, and a request that has
+// begun no more time than that; a connection without an open request may be closed after 2 s.
+constexpr Time kWholeRequest = 25'000;
+constexpr Time kIdle = 20'000;
+// What a client may still send after its last answer before the connection is closed over it: as much as the
+// longest request.
+constexpr std::size_t kMostLeft = 80 * 1024;
+constexpr std::uint32_t kMostRemainingMs = 86'400'000;
 constexpr std::size_t kLongestName = 64;
 constexpr std::size_t kMostParts = 4096;
+constexpr std::size_t kLongestText = 16 * 1024;  // it goes with each part: a whole call must stay readable
+constexpr double kShareSlack = 0.01;             // usual clients write six decimals: sums miss 1 by 2e-6
 
 bool is_name(std::string_view text) {  // stands in a line of words, before a dot and a number
     return !text.empty() && text.size() <= kLongestName &&
@@ -34,11 +46,11 @@
 
 ClientSide::ClientSide(net::Scheduler& scheduler, Exchange& exchange, Counters& counters, Log& log,
                        net::Endpoint listen, std::vector<std::string> op_types,
-                       std::vector<std::string> tenants, int shards, Time patience,
+                       std::vector<std::string> tenants, int shards, Time patience, Time grace,
                        std::size_t most_connections, std::function<std::string()> print_counters)
     : scheduler_(scheduler), exchange_(exchange), counters_(counters), log_(log), at_(listen),
       op_types_(std::move(op_types)), tenants_(std::move(tenants)), shards_(shards), patience_(patience),
-      most_connections_(most_connections), print_counters_(std::move(print_counters)) {}
+      grace_(grace), most_connections_(most_connections), print_counters_(std::move(print_counters)) {}
 
 void ClientSide::start() {
     listener_ = net::listen_on(at_);
@@ -54,6 +66,7 @@
     if (stopping_) return;
     stopping_ = true;
     accept_until_ = scheduler_.now() + kAcceptOn;
+    serve_until_ = scheduler_.now() + kServeOn;
     waiter_->signal();
 }
 
@@ -68,6 +81,8 @@
     take_all_queued();
     waiter_.reset();
     listener_ = net::Fd{};
+    net::Waiter rest(scheduler_);
+    while (scheduler_.now() < serve_until_) co_await rest.wait(0, serve_until_);
     accepting_ = false;
     for (auto& connection : connections_) {
         connection->closing = true;
@@ -109,20 +124,31 @@
     }
 }
 
-// Asks a connection to close, and there is room once it has: the one that has been idle for longest, else the
-// one whose request has been coming in for longest, since it is not taken before its last byte. Guards
-// against clients that open connections and say nothing, or never finish.
+// Asks one connection to close; there is room once it has. Guards against clients that open connections and
+// say nothing, never finish, or hold on for good.
 void ClientSide::make_room() {
-    Connection* longest = nullptr;
+    Connection* first = nullptr;
+    const auto rank = [this](const Connection& c) { return std::pair{readiness_to_go(c), c.since}; };
     for (auto& connection : connections_) {
-        if (connection->evicted) return;  // one is on its way out already
-        if (connection->phase == Connection::Phase::kBusy) continue;
-        const auto rank = [](const Connection& c) { return std::pair{c.phase, c.since}; };
-        if (longest == nullptr || rank(*connection) < rank(*longest)) longest = connection.get();
+        if (connection->evicted || connection->phase == Connection::Phase::kBusy) continue;
+        if (first == nullptr || rank(*connection) < rank(*first)) first = connection.get();
     }
-    if (longest == nullptr) return;
-    longest->evicted = true;
-    longest->stream.waiter().signal();
+    if (first == nullptr) return;
+    first->evicted = true;
+    first->stream.waiter().signal();
+}
+
+// Lowest goes first: those that have their last answer, then those that have not come up with a first request
+// in the usual time, then those between two requests. A new one is likely to be a usual client's.
+int ClientSide::readiness_to_go(const Connection& connection) const {
+    switch (connection.phase) {
+        case Connection::Phase::kLeaving: return 0;
+        case Connection::Phase::kNew: return scheduler_.now() - connection.since >= grace_ ? 1 : 3;
+        case Connection::Phase::kIdle: return 2;
+        case Connection::Phase::kReading:
+        case Connection::Phase::kBusy: break;
+    }
+    return 4;
 }
 
 void ClientSide::drop(Connection& connection) {
@@ -145,8 +171,12 @@
         for (;;) {  // one request
             auto& buffer = stream.buffer();
             if (!buffer.empty() && arrived == 0) {
-                arrived = connection.since = scheduler_.now();
-                connection.phase = Connection::Phase::kReading;
+                arrived = scheduler_.now();
+                // The first request has its time from the connection's start, however it trickles in.
+                if (connection.phase == Connection::Phase::kIdle) {
+                    connection.phase = Connection::Phase::kReading;
+                    connection.since = arrived;
+                }
             }
             buffer.drop(request.feed(buffer.held()));
             if (request.state() == State::kDone || request.state() == State::kBad) break;
@@ -161,8 +191,12 @@
                 if (got != net::Stream::Got::kNothing) co_return;
             }
             if (connection.evicted || (connection.closing && arrived == 0)) co_return;
-            const Time late = arrived == 0 ? net::kNever : arrived + patience_;
-            if (scheduler_.now() >= late) break;
+            const bool idle = connection.phase == Connection::Phase::kIdle;
+            const Time late = connection.since + (idle ? kIdle : kWholeRequest);
+            if (scheduler_.now() >= late) {
+                if (arrived == 0) co_return;
+                break;
+            }
             co_await waiter.wait(net::kRead, late);
         }
         connection.phase = Connection::Phase::kBusy;
@@ -177,7 +211,9 @@
         connection.ending.reset();
         connection.multiget = 0;
 
-        open = request.state() == State::kDone && request.keeps_open() && !stopping_;
+        // Whoever sent nonsense may send more: it must connect again.
+        open = request.state() == State::kDone && request.keeps_open() && !reply->last &&
+               scheduler_.now() < serve_until_;
         const auto text = parse::http_answer(reply->status, reply->headers, reply->body, !open);
         const Time give_up_at = scheduler_.now() + patience_;
         for (std::size_t written = 0; written < text.size();) {
@@ -190,10 +226,12 @@
     }
     // A close over input that was not read resets the connection and may destroy the answer on its way.
     net::end_writing(stream.fd());
+    connection.phase = Connection::Phase::kLeaving;
     const Time give_up_at = scheduler_.now() + kSecond;
-    while (scheduler_.now() < give_up_at) {
+    for (std::size_t left = 0; left < kMostLeft && !connection.evicted && scheduler_.now() < give_up_at;) {
         if (waiter.may(net::kRead)) {
             const auto got = stream.read();
+            left += stream.buffer().held().size();
             stream.buffer().drop(stream.buffer().held().size());
             if (got == net::Stream::Got::kEnd || got == net::Stream::Got::kBroken) co_return;
         }
@@ -234,7 +272,7 @@
 ClientSide::Reply ClientSide::bad(int status, std::string why) {
     counters_.add(Count::kBadRequests);
     log_.line("bad request: " + why);
-    return {status, "Content-Type: text/plain\r\n", why + '\n'};
+    return {status, "Content-Type: text/plain\r\n", why + '\n', true};
 }
 
 // What is wrong with it, or nothing.
@@ -258,14 +296,14 @@
         if (static_cast<std::size_t>(asked.tenant) == tenants_.size()) return "an unknown X-Org";
     }
     const auto* remaining = request.header("x-remaining-ms");
-    double ms = 0;
+    std::uint32_t ms = 0;
     if (remaining == nullptr) return "X-Remaining-Ms is missing";
     const auto [end, error] = std::from_chars(remaining->data(), remaining->data() + remaining->size(), ms);
-    if (error != std::errc{} || end != remaining->data() + remaining->size() || !(ms > 0) ||
+    if (error != std::errc{} || end != remaining->data() + remaining->size() || ms == 0 ||
         ms > kMostRemainingMs) {
         return "X-Remaining-Ms is malformed";
     }
-    asked.not_after = arrived + static_cast<Time>(ms * 10);
+    asked.not_after = arrived + Time{ms} * 10;
     const auto* repeat = request.header("x-resent");
     asked.repeat = repeat != nullptr && *repeat == "1";
     return read_parts(request.take_body(), asked);
@@ -285,7 +323,9 @@
         return "targets is no list of parts";
     if (parts->list()->size() > kMostParts) return "too many targets";
     asked.text = *text->string();
+    if (asked.text.size() > kLongestText || !parse::is_utf8(asked.text)) return "query is no usable text";
     std::set<int> shards;
+    double sum = 0;
     for (const auto& part : *parts->list()) {
         const auto number = [&](const char* name) {
             const auto* member = part.member(name);
@@ -314,8 +354,10 @@
             const auto [end, error] = std::from_chars(hex->data(), hex->data() + hex->size(), told.key, 16);
             if (error != std::errc{} || end != hex->data() + hex->size()) return "route is not 16 hex digits";
         }
+        sum += told.weight;
         asked.parts.push_back(told);
     }
+    if (std::abs(sum - 1) > kShareSlack) return "the shares do not sum to 1";
     return {};
 }
 
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -22,7 +22,7 @@
 public:
     ClientSide(net::Scheduler& scheduler, Exchange& exchange, Counters& counters, Log& log,
                net::Endpoint listen, std::vector<std::string> op_types, std::vector<std::string> tenants,
-               int shards, Time patience, std::size_t most_connections,
+               int shards, Time patience, Time grace, std::size_t most_connections,
                std::function<std::string()> print_counters);
 
     void start();
@@ -37,9 +37,10 @@
         Connection(net::Scheduler& scheduler, net::Fd fd)
             : stream(scheduler, std::move(fd)), since(scheduler.now()) {}
         net::Stream stream;
-        enum class Phase { kIdle, kReading, kBusy } phase = Phase::kReading;  // kIdle: between two requests
-        Time since = 0;                                                       // of the phase
-        bool closing = false;                                                 // to be closed when idle
+        // kNew: no request has come whole yet; kIdle: between two; kLeaving: answered for the last time.
+        enum class Phase { kNew, kIdle, kReading, kBusy, kLeaving } phase = Phase::kNew;
+        Time since = 0;        // of the phase
+        bool closing = false;  // to be closed when idle
         bool evicted = false;  // to be closed unless a request is whole
         Id multiget = 0;       // the open one
         std::optional<Ending> ending;
@@ -49,12 +50,14 @@
         int status = 200;
         std::string headers;
         std::string body;
+        bool last = false;  // of its connection
     };
 
     net::Task accept();
     net::Task serve(Connection& connection);
     bool take_all_queued();
     void make_room();
+    int readiness_to_go(const Connection& connection) const;
     void drop(Connection& connection);
     std::optional<Reply> handle(Connection& connection, parse::HttpReader& request, Time arrived);
     std::optional<Reply> ask(Connection& connection, parse::HttpReader& request, Time arrived);
@@ -71,12 +74,14 @@
     const std::vector<std::string> op_types_;
     const std::vector<std::string> tenants_;
     const int shards_;
-    const Time patience_;  // with a request of which a part has come
+    const Time patience_;  // with a client that takes its answer slowly
+    const Time grace_;     // in which a new connection's first request usually comes
     const std::size_t most_connections_;
     const std::function<std::string()> print_counters_;
     bool stopping_ = false;
     bool accepting_ = false;
     Time accept_until_ = net::kNever;
+    Time serve_until_ = net::kNever;
     std::size_t most_at_once_ = 0;
     std::list<std::unique_ptr<Connection>> connections_;
     net::Fd listener_;
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -47,8 +47,8 @@
       list_(scheduler, exchange_, counters_, log_, launch.discovery(), launch.settings().zone_names()),
       clients_(scheduler, exchange_, counters_, log_, launch.listen(), launch.settings().op_type_names(),
                launch.settings().tenant_names(), launch.settings().shards(),
-               longest_timeout(launch.settings()), most_clients(launch, descriptors_),
-               [this] { return print_counters(); }),
+               longest_timeout(launch.settings()), launch.settings().send_terms().connect_timeout,
+               most_clients(launch, descriptors_), [this] { return print_counters(); }),
       reload_asked_(scheduler) {}
 
 void FrontDoor::start() {
--- a/tests/parse_test.cpp
+++ b/tests/parse_test.cpp
@@ -68,6 +68,15 @@
           "400 contradictory lengths");
     CHECK(read_request(post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n") ==
           "400 contradictory lengths");
+    CHECK(read_request(post + "transfer-encoding:chunked\r\ncontent-length:3\r\n\r\n") ==
+          "400 contradictory lengths");
+    CHECK(read_request("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+          "400 contradictory lengths");
+    CHECK(read_request(post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+          "501 an unknown transfer coding");
+    CHECK(read_request(post + "Content-Length: 3, 3\r\n\r\n") == "400 a malformed length");
+    CHECK(read_request(post + "Content-Length: 0x3\r\n\r\n") == "400 a malformed length");
+    CHECK(read_request(post + "A: b\r\n Content-Length: 3\r\n\r\n") == "400 a malformed header");
     CHECK(read_request(post + "Content-Length: -3\r\n\r\n") == "400 a malformed length");
     CHECK(read_request(post + "Content-Length: 99999999999999999999999\r\n\r\n") == "400 a malformed length");
     CHECK(read_request(post + "Content-Length: 65537\r\n\r\n") == "413 the body is too large");
