A lost connection puts its server on trial, it is not cold; servers that left the list are forgotten

Now a reset puts its server on trial: one part goes alone; a process that died refuses it at once, which has never run and is the proof that was missing. A reset on trial sets it aside. Servers gone from the list stayed in the exchange, the server side and the module's maps for the life of the process. They go when nothing is out and no connection is left; who returns is new; a late call finds none and is never sent. Tests: a lost connection is not a lost server; a server that left the list (module, sockets): both fail without.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -43,10 +43,7 @@
             return;
         }
         if (news.kind != ListKind::kSaved) watching_ = true;
-        for (const auto& entry : listed_.apply(news)) {
-            post_.known.insert(entry.server);
-            post_.servers[entry.server].push_back(entry);
-        }
+        for (const auto& entry : listed_.apply(news)) post_.tell(entry);
         post_.pulse.push_back(Fleet{listed_.count_ready()});
     }
 
@@ -70,10 +67,7 @@
     }
 
     void take(const Tick&) {
-        if (s_.is_away() && post_.now >= s_.aside_until) {
-            s_.standing = Standing::kTrial;
-            s_.heard = post_.now;
-        }
+        if (s_.is_away() && post_.now >= s_.aside_until) s_.on_trial(post_.now);
         fill_cold_room();
         look_for_silence();
         for (auto& [key, out] : s_.out) {
@@ -115,6 +109,8 @@
         publish();
     }
 
+    bool is_over() const { return s_.is_over(); }
+
 private:
     void judge(const SendEnded& ended, const OutSend& out) {
         constexpr double kErrorStep = 1.0 / 8;  // how fast errors, and answers after them, are believed
@@ -145,12 +141,18 @@
                 s_.credit = 0;
                 if (++s_.fulls >= kMostFulls || trial) set_aside(Standing::kAside, "full");
                 break;
-            case Outcome::kNoConnection:
             case Outcome::kReset:
+                // Connections end under servers that live. One that died refuses the next part, which goes
+                // alone.
+                s_.credit = 0;
+                if (trial && out.sent > s_.heard) set_aside(Standing::kAside, "reset");
+                if (s_.standing == Standing::kGood) s_.on_trial(post_.now);
+                break;
+            case Outcome::kNoConnection:
                 // A process that was down comes back cold, whatever the list says. It refuses at once; one
                 // that lets the time run out is behind a cut or slow way, and may be warm all the while.
                 s_.credit = 0;
-                if (ended.outcome == Outcome::kReset || ended.took < connect_timeout_) restarted(post_.now);
+                if (ended.took < connect_timeout_) restarted(post_.now);
                 set_aside(Standing::kAside, "no connection");
                 break;
             case Outcome::kTimedOut:
@@ -245,13 +247,7 @@
         s_.pace = {static_cast<double>(shortest_budget) / 8, static_cast<double>(shortest_budget) / 4, 0};
     }
 
-    void take(const Strain& strain) {
-        ++s_.ended;
-        s_.ended_servers.insert(strain.server);
-        if (!strain.pressing) return;
-        ++s_.pressing;
-        s_.pressed_servers.insert(strain.server);
-    }
+    void take(const Strain& strain) { s_.count(strain.server, strain.pressing); }
 
     void take(const Took& took) {  // the quick one is the lower quartile, which queues move little
         const auto t = static_cast<double>(took.took);
@@ -284,8 +280,8 @@
         if (!enough && unused && s_.drowned) return;
         // Alpha answers pressure on the fleet. Time-outs at a few servers are those servers' trouble, which
         // setting aside and further sends answer; they must not raise alpha for every op type.
-        const std::size_t few = std::max(std::min(s_.ready / kFewServers, kFewServers),
-                                         s_.ended_servers.size() / kFewServers);
+        const std::size_t few =
+            std::max(std::min(s_.ready / kFewServers, kFewServers), s_.ended_servers.size() / kFewServers);
         const bool widespread = s_.pressed_servers.size() > few;
         const bool over = enough && s_.pressing > kMark * s_.ended;
         const double before = s_.alpha;
@@ -644,8 +640,10 @@
         const bool harmless = type.repeat == Repeat::kRetriable || mg.all_proven_not_run();
         if (!mg.repeat) s_.tries.at(static_cast<std::size_t>(mg.told.op_type)).repeats_due += 2;
         const Time wait = clients_.retry_after ? clients_.longest_retry_after : 0;
-        if (harmless && mg.step == 1) post_.actions.emplace_back(PushBack{mg.told.id, wait});
-        else post_.actions.emplace_back(Fail{mg.told.id});
+        if (harmless && mg.step == 1)
+            post_.actions.emplace_back(PushBack{mg.told.id, wait});
+        else
+            post_.actions.emplace_back(Fail{mg.told.id});
         forget(mg);
     }
 
@@ -678,8 +676,7 @@
     Parts(std::uint64_t seed, NodePlace at, std::vector<OpType> op_types, ShardRing shards, SendTerms sends,
           FurtherSendTerms further, ColdTerms cold_terms, ListTerms list, ClientTerms clients)
         : place(at), ring(shards), cold(cold_terms), connect(sends.connect_timeout),
-          shortest(shortest_budget(op_types)),
-          follower(post, list), pulse(post, shortest, at.front_nodes),
+          shortest(shortest_budget(op_types)), follower(post, list), pulse(post, shortest, at.front_nodes),
           desk(post, std::move(op_types), shards, sends, further, clients, at.turn) {
         post.chance.seed(static_cast<std::uint32_t>(seed ^ (seed >> 32U)));
     }
@@ -693,6 +690,8 @@
                 auto& [id, inbox] = *post.servers.begin();
                 const auto it = servers.try_emplace(id, post, id, cold, place, ring, connect, shortest).first;
                 while (empty_one(it->second, inbox)) busy = true;
+                // One that left the list for good would be kept for ever; if it returns it is a new one.
+                if (it->second.is_over()) post.forget(servers, it);
             }
             while (empty_one(pulse, post.pulse)) busy = true;
             while (empty_one(desk, post.cards)) busy = true;
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -32,6 +32,7 @@
     ServerId server;
     int place = 0;
     bool listed_ready = false;
+    bool over = false;  // gone from the list, and nothing is out there
     Standing standing = Standing::kGood;
     int calls_out = 0;
     int parts_out = 0;
@@ -82,8 +83,8 @@
 
 struct Post {
     std::map<ServerId, std::deque<ServerNote>> servers;  // those with notes only
-    std::set<ServerId> known;                           // whoever the list named
-    std::set<ServerId> awake;                           // who has something out or due
+    std::set<ServerId> known;                            // whoever the list named
+    std::set<ServerId> awake;                            // who has something out or due
     std::deque<PulseNote> pulse;
     std::deque<FollowerNote> follower;
     std::deque<DeskNote> desk;
@@ -96,6 +97,16 @@
         if (due) awake.insert(id);
         if (!due) awake.erase(id);
     }
+    void tell(const ListEntry& entry) {
+        known.insert(entry.server);
+        servers[entry.server].push_back(entry);
+    }
+    template <class Actors>
+    void forget(Actors& actors, typename Actors::iterator one) {
+        known.erase(one->first);
+        awake.erase(one->first);
+        actors.erase(one);
+    }
     void tick_all() {
         follower.push_back(Tick{});
         for (const auto& id : awake) servers[id].push_back(Tick{});
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -1,6 +1,7 @@
 #include "service/exchange.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace pinedoor::service {
 
@@ -161,21 +162,34 @@
     counters_.add(kind == ListKind::kFailed ? Count::kListFailures : Count::kListNews);
     if (kind != ListKind::kFailed) list_heard_ = scheduler_.now();
     ListNews news{kind, {}};
+    std::set<ServerId> named;
     for (auto& member : members) {
-        // A server keeps its id here however often it is listed, and whatever address it is listed at.
-        const ServerId fresh{static_cast<std::uint32_t>(servers_.size() + 1), 0};
-        const auto [at, is_new] = servers_.try_emplace(member.name, fresh);
-        member.entry.server = at->second;
+        // A server keeps its id here for as long as it is listed, and whatever address it is listed at.
+        const auto [at, is_new] = servers_.try_emplace(member.name);
+        auto& known = at->second;
         if (is_new) {
-            log_.line("server " + std::to_string(fresh.address) + " is " + member.name + " at " +
+            known.id.address = ++last_server_;
+            log_.line("server " + std::to_string(last_server_) + " is " + member.name + " at " +
                       net::to_text(member.at));
         }
-        caller_->learn(at->second, member.at, member.entry.state, member.entry.started);
+        known.at = member.at;
+        member.entry.server = known.id;
+        named.insert(known.id);
+        caller_->learn(known.id, known.at, member.entry.state, member.entry.started);
         news.entries.push_back(member.entry);
     }
+    const bool whole = kind == ListKind::kFull || kind == ListKind::kSaved;
+    for (const auto& [name, known] : servers_) {  // a whole list removes what it does not name
+        if (whole && !named.contains(known.id)) caller_->learn(known.id, known.at, ServerState::kGone, 0);
+    }
     happened(std::move(news));
 }
 
+// Guards against growth with every server ever listed. One that returns afterwards is a new server.
+void Exchange::forget(ServerId server) {
+    std::erase_if(servers_, [&](const auto& each) { return each.second.id == server; });
+}
+
 void Exchange::carry_out(const Send& send) {
     const auto part = parts_.find(send.part);
     const Time now = last_turn_;
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -85,6 +85,7 @@
     void over(const PartCall& call, Outcome outcome, std::vector<double> load = {}, std::string value = {});
 
     void list_news(ListKind kind, std::vector<Member> members);
+    void forget(ServerId server);  // gone from the list, and nothing of it is left
 
     bool idle() const { return multigets_.empty(); }
     std::string print_gauges() const;
@@ -142,7 +143,12 @@
     std::map<Id, OpenPart> parts_;
     std::map<std::pair<Id, int>, std::string> out_;  // sends without an outcome, by their multiget's name
     std::map<std::string, int> names_;               // held by an open multiget, or by sends of it still out
-    std::map<std::string, ServerId> servers_;
+    struct Known {
+        ServerId id;
+        net::Endpoint at;
+    };
+    std::map<std::string, Known> servers_;  // by the list's name, until forgotten
+    std::uint32_t last_server_ = 0;
     std::size_t parts_open_ = 0;  // of open multigets, without a value
     std::size_t most_at_once_ = 0;
     Time list_heard_ = 0;
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -33,6 +33,7 @@
 
 void ServerSide::learn(ServerId id, net::Endpoint at, ServerState state, Time started) {
     auto& server = servers_[id];
+    server.id = id;
     const bool moved = server.at != at;
     server.at = at;
     server.state = state;
@@ -44,10 +45,22 @@
             close(*connection, Count::kClosedRestarted);
         connection->stream.waiter().signal();
     }
+    if (state == ServerState::kGone) scheduler_.defer([this, id] { forget_if_gone(id); });
+}
+
+void ServerSide::forget_if_gone(ServerId id) {
+    const auto at = servers_.find(id);
+    if (at == servers_.end()) return;
+    const auto& server = at->second;
+    if (server.state != ServerState::kGone || !server.connections.empty() || !server.gathered.empty()) return;
+    servers_.erase(at);
+    exchange_.forget(id);
 }
 
 void ServerSide::call(PartCall call) {
-    auto& server = servers_[call.server];
+    const auto at = servers_.find(call.server);
+    if (at == servers_.end()) return exchange_.over(call, Outcome::kNeverSent);
+    auto& server = at->second;
     if (server.gathered.empty()) gathered_.push_back(call.server);
     server.gathered.push_back(std::move(call));
 }
@@ -158,7 +171,8 @@
         if (scheduler_.now() >= idle_at) close(connection, Count::kClosedIdle);
         // Nothing is out on it any more, and it has said nothing since the last send timed out.
         if (connection.doubted && !connection.busy()) close(connection, Count::kClosedDoubted);
-        if (connection.retired && !connection.busy()) close(connection, Count::kClosedIdle);
+        const bool unwanted = connection.retired || connection.server.state == ServerState::kGone;
+        if (unwanted && !connection.busy()) close(connection, Count::kClosedIdle);
         // What begins a frame and never ends it would swallow answer after answer.
         const Time whole_by =
             connection.begun == net::kNever ? net::kNever : connection.begun + connect_timeout_;
@@ -453,13 +467,16 @@
     while (!connection.out.empty()) end_send(connection.out.begin()->second, written);
     must_hold(connection.sends == 0, counters_);
     scheduler_.defer([this, at = &connection] {
+        const auto id = at->server.id;
         std::erase_if(at->server.connections, [at](const auto& each) { return each.get() == at; });
         --connections_;
+        forget_if_gone(id);
     });
 }
 
 std::string ServerSide::print_gauges() const {
     std::string out;
+    append_line(out, "servers_known", servers_.size());
     append_line(out, "connections_open", connections_);
     append_line(out, "connections_open_most_at_once", most_at_once_);
     return out;
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -66,6 +66,7 @@
         net::Task task;            // last: goes first
     };
     struct Server {
+        ServerId id;
         net::Endpoint at;
         ServerState state = ServerState::kGone;
         Time started = 0;
@@ -102,6 +103,7 @@
     void set_due(const SendKey& key, Sent& sent, Time due);
     void close(Connection& connection, Count cause);
     void finish(Connection& connection);
+    void forget_if_gone(ServerId id);
 
     net::Scheduler& scheduler_;
     Exchange& exchange_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -129,6 +129,7 @@
         }
         for (const auto& entry : news.entries) {
             listed_[entry.server] = entry;
+            if (entry.state == ServerState::kGone) listed_.erase(entry.server);
             told.push_back(entry);
         }
         return told;
@@ -173,9 +174,10 @@
     double cold_room = 0;  // parts that it may be sent now
     Time room_filled = 0;
 
+    bool is_over() const { return entry.state == ServerState::kGone && out.empty(); }
     bool is_away() const { return standing == Standing::kAside || standing == Standing::kFailing; }
     Card card(ServerId id) const {
-        Card made{id, entry.place, entry.state == ServerState::kReady, standing};
+        Card made{id, entry.place, entry.state == ServerState::kReady, is_over(), standing};
         made.calls_out = static_cast<int>(calls_out.size());
         made.parts_out = static_cast<int>(out.size());
         made.credit = credit;
@@ -198,6 +200,10 @@
         if (--calls_out[it->second.call] == 0) calls_out.erase(it->second.call);
         out.erase(it);
     }
+    void on_trial(Time at) {
+        standing = Standing::kTrial;
+        heard = at;
+    }
     void restarted(Time at, Time seen, double room) {
         started = at;
         cold_room = room;
@@ -220,11 +226,18 @@
     std::size_t ready = 0;  // servers listed
     double mean_weight = 0;
     double alpha = 0;
-    Time weighed = 0;  // when alpha last decided on a multiget
-    Time gap = 0;      // from one such to the next, of late
+    Time weighed = 0;      // when alpha last decided on a multiget
+    Time gap = 0;          // from one such to the next, of late
     bool drowned = false;  // over a quarter pressed when last counted
     Pace pace;
 
+    void count(ServerId server, bool presses) {
+        ++ended;
+        ended_servers.insert(server);
+        if (!presses) return;
+        ++pressing;
+        pressed_servers.insert(server);
+    }
     void count_anew() {
         ended = pressing = 0;
         ended_servers.clear();
@@ -258,6 +271,10 @@
         at_place[held.place].erase(card.server);
         at_place[card.place].insert(card.server);
         held = card;
+        if (!card.over) return;
+        failing -= held.standing == Standing::kFailing;
+        at_place[held.place].erase(card.server);
+        cards.erase(card.server);
     }
     std::vector<const Card*> holders(const ShardRing& ring, int shard) const {  // by their ids
         std::vector<const Card*> found;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -353,6 +353,40 @@
 )");
 }
 
+TEST_CASE("a server that left the list with nothing out is forgotten: it returns as one that never failed") {
+    Script s;
+    s.list("A0 B1").arrive(1, kOnce, {1}, 3).end({100}, Outcome::kError).arrive(2, kOnce, {1}, 3);
+    s.end({200}, Outcome::kError).quietly().list("B1").arrive(3, kOnce, {1}, 0);
+    s.list("A0 B1").arrive(4, kOnce, {1}, 0);
+    CHECK(s.trace() == R"(
+0 send 300 to B
+0 send 400 to A
+)");
+}
+
+TEST_CASE("a lost connection is not a lost server: one part goes alone, and tells") {
+    Script s;
+    s.list("A0 B1d").arrive(1, kOnce, {1}, 3).arrive(2, kOnce, {1}, 3).end({100, 200}, Outcome::kReset);
+    s.quietly().arrive(3, kOnce, {1}, 3).arrive(4, kOnce, {1}, 3).pass(10);
+    SUBCASE("answered") {
+        s.end({300}).arrive(5, kOnce, {1}, 3);
+        CHECK(s.trace() == R"(
+0 send 300 to A
+0 push back 4 for 500
+10 answer 3 whole
+10 send 500 to A
+)");
+    }
+    SUBCASE("refused") {
+        s.end({300}, Outcome::kNoConnection).arrive(5, kOnce, {1}, 3);
+        CHECK(s.trace() == R"(
+0 send 300 to A
+0 push back 4 for 500
+10 push back 5 for 500
+)");
+    }
+}
+
 TEST_CASE("a server that refuses three parts on end as full is set aside, however little is out there") {
     Script s;
     s.front_nodes = 1;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -295,6 +295,31 @@
     CHECK(program.counter("list_entries_refused") == 1);
 }
 
+TEST_CASE(
+    "a server that is gone from the list is forgotten once nothing is out there, and returns as a new one") {
+    OneServer one;
+    Listener second;
+    one.go();
+    auto watch = one.discovery.accept();
+    watch.read_to("\r\n\r\n");
+    one.ask("again", "t1", {1});
+    std::string gone =
+        chunk(list_object(2, false, {{"s-1", one.server.at(), "Gone"}, {"s-2", second.at()}}) + "\n");
+    SUBCASE("told") {}
+    SUBCASE("not named") { gone = chunk(list_object(2, true, {{"s-2", second.at()}}) + "\n"); }
+    watch.say(kStream + gone);
+    CHECK(one.program.counter_at("list_news", 2) == 2);
+    CHECK(one.program.counter("servers_known") == 2);
+    one.link.reply("t1.1", "done", "x");
+    CHECK(one.client.answer().starts_with("200 "));
+    CHECK(one.link.ended());
+    CHECK(one.program.counter_at("servers_known", 1) == 1);
+    watch.say(chunk(list_object(3, true, {{"s-1", one.server.at()}}) + "\n"));
+    CHECK(one.program.counter_at("list_news", 3) == 3);
+    CHECK(one.ask("again", "t2", {1}) == "St2.1 1 1\nq");
+    CHECK(one.program.log().find("server 3 is s-1 at ") != std::string::npos);
+}
+
 TEST_CASE("a list call that fails or falls silent is made again, on the last revision, and not in a storm") {
     Listener server, discovery;
     Program program({{"s-1", server.at()}}, discovery.at());
