Silent connections are left after a connect time-out in all; run-once parts avoid servers that lose some

Checked with a probe of every send's end, server and connection. (1) A connection that falls silent was doubted only when one send had been out there for a connect time-out; stragglers' copies call retriable sends off earlier, so part after part went into it and its server was set aside again and again while its other connections answered. What counts now is the time since the connection first owed an answer. (2) All 27 sends of one node that timed out were non-retriable, at six of twelve servers that answered later sends on the same connection within 20 ms: they never answer some parts. A send that ends unanswered, though its server answered what came longer after than the mark for silence, now keeps non-retriable parts away for 16 latency budgets, unless no other replica is left. Others' resets were ruled out before. Tests: a connection that owes answers, a server that answers others; both fail without the change.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -142,8 +142,7 @@
                 if (++s_.fulls >= kMostFulls || trial) set_aside(Standing::kAside, "full");
                 break;
             case Outcome::kReset:
-                // Connections end under servers that live. One that died refuses the next part, which goes
-                // alone.
+                // Its server may live. One that died refuses the next part, which goes alone.
                 s_.credit = 0;
                 if (trial && out.sent > s_.heard) set_aside(Standing::kAside, "reset");
                 if (s_.standing == Standing::kGood) s_.on_trial(post_.now);
@@ -168,6 +167,8 @@
     }
 
     void see_wait(Time took, bool at_least) {
+        // It went on answering what came long after, and not this: some of what it takes it never answers.
+        if (at_least && s_.heard - (post_.now - took) > s_.slow) s_.lost = post_.now;
         const Time before = std::max<Time>(0, s_.wait - (post_.now - s_.wait_seen));
         if (at_least && took <= before) return;
         // Where answers are rare each is all that is known; a node that sees many smooths them.
@@ -427,6 +428,7 @@
 private:
     static constexpr double kEarned = 1.5;        // parts, by an answer within half its latency budget
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
+    static constexpr Time kLosesFor = 16;         // latency budgets that one is shunned for a lost send
     static constexpr double kHopeful = 0.4;       // of the time left that an expected wait may take
 
     void log_sends(int taken, int sent) {
@@ -559,20 +561,20 @@
         if (is_further && !budget_allows()) return nullptr;
         const auto bearable = static_cast<Time>(kHopeful * static_cast<double>(left));
         std::vector<const Card*> best;
-        std::array<int, 3> lowest{};
+        std::array<int, 3> lowest{std::numeric_limits<int>::max()};
         for (const auto* holder : s_.holders(ring_, part.told.shard)) {
             const auto& card = *holder;
             if (!card.listed_ready || card.room < 1) continue;
             const bool unfit = is_further && (card.credit < 1 || is_away(card) || part.was_at(card.server));
             if (unfit && (part.stage != Stage::kWaiting || !half_in)) continue;
             const bool too_slow = expected_wait(card) > bearable;
-            const bool doubted = card.standing != Standing::kGood && type.repeat != Repeat::kRetriable;
+            const bool loses = card.lost > 0 && post_.now - card.lost < kLosesFor * type.latency_budget;
+            const bool doubted =
+                type.repeat != Repeat::kRetriable && (loses || card.standing != Standing::kGood);
             const int last = (unfit ? 3 : 0) + (is_away(card) ? 2 : (doubted || too_slow ? 1 : 0));
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
-            if (best.empty() || rank < lowest) {
-                best.clear();
-                lowest = rank;
-            }
+            if (rank < lowest) best.clear();
+            lowest = std::min(lowest, rank);
             if (rank == lowest) best.push_back(holder);
         }
         return best.empty() ? nullptr : best[post_.chance() % best.size()];
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -112,6 +112,12 @@
     Connection* least = nullptr;
     const Time now = scheduler_.now();
     for (auto& connection : server.connections) {
+        // However briefly each of its sends was out: what has been asked for so long and said nothing is
+        // silent.
+        if (connection->asked != net::kNever && now - connection->asked >= connect_timeout_) {
+            connection->doubted = true;
+            connection->stream.waiter().signal();
+        }
         if (connection->ending || connection->doubted || connection->retired) continue;
         if (!connection->up && now - connection->opened >= connect_timeout_) continue;
         if (!connection->busy() && now - connection->used >= idle_) continue;
@@ -207,6 +213,7 @@
         }
         // Only whole, good frames show life: bytes that never make one must not keep a connection in use.
         connection.read = connection.used;
+        connection.asked = connection.sends > 0 ? connection.read : net::kNever;
         connection.doubted = false;
         connection.begun = net::kNever;
         buffer.drop(frame.size);
@@ -331,6 +338,7 @@
         if (at == sent_.end()) continue;  // given up while it was being written
         at->second.stage = Stage::kOut;
         at->second.written = now;
+        if (connection.asked == net::kNever) connection.asked = now;
         set_due(key, at->second, at->second.call.until);
     }
 }
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -62,6 +62,7 @@
         Time used = 0;             // when last read from or written to
         Time read = 0;             // when a good frame last came
         Time begun = net::kNever;  // when the frame that is still coming in began
+        Time asked = net::kNever;  // since when it owes an answer, be it to a send given up since
         std::string answered;      // the part whose answer came last
         net::Task task;            // last: goes first
     };
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -166,6 +166,7 @@
     Time slow = 0;  // a longer silence is suspicious
     Time wait = 0;  // what answers lately had to wait, when last seen
     Time wait_seen = 0;
+    Time lost = 0;  // when a send was last found that it will never answer
     double errors = 0;
     int fulls = 0;  // on end
     double credit = 0;
@@ -183,6 +184,7 @@
         made.credit = credit;
         made.wait = wait;
         made.wait_seen = wait_seen;
+        made.lost = lost;
         made.oldest_out = out.empty() || is_away() ? 0 : oldest_sent(std::numeric_limits<Time>::max());
         return made;
     }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -364,6 +364,19 @@
 )");
 }
 
+TEST_CASE(
+    "a server that answers others and never one part gets nothing that must not run twice for a while") {
+    Script s;
+    s.list("A0 B1d").arrive(1, kWholly, {1}, 0);
+    for (Id id = 2; id <= 4; ++id) s.pass(300).arrive(id, kWholly, {1}, 0).pass(15).end({id * 100});
+    s.pass(50).end({100}, Outcome::kCancelled).list("A0d B1").arrive(5, kWholly, {1}, 0).list("A0 B1");
+    s.quietly().arrive(6, kOnce, {1}, 0).arrive(7, kWholly, {1}, 0);
+    CHECK(s.trace() == R"(
+995 send 600 to B
+995 send 700 to A
+)");
+}
+
 TEST_CASE("a lost connection is not a lost server: one part goes alone, and tells") {
     Script s;
     s.list("A0 B1d").arrive(1, kOnce, {1}, 3).arrive(2, kOnce, {1}, 3).end({100, 200}, Outcome::kReset);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -191,6 +191,21 @@
     CHECK(one.client.answer() == R"(200 {"whole":true,"results":[{"partition":1,"value":"new"}]})");
 }
 
+TEST_CASE("a connection that owes answers for a connect time-out is left, however short each send was") {
+    OneServer one;
+    one.go();
+    one.client.say(post("again", "t1", asks({1}), 200));
+    auto silent = one.server.accept();
+    CHECK(silent.frame() == "St1.1 1 1\nq");
+    CHECK(one.client.answer() == "503 retry-after=1.2500");
+    usleep(100'000);
+    CHECK(one.ask("again", "t2", {1}) == "St2.1 1 1\nq");  // on a new connection
+    one.link.reply("t2.1", "done", "x");
+    CHECK(one.client.answer().starts_with("200 "));
+    CHECK(silent.frame() == "Ct1.1");
+    CHECK(silent.ended());
+}
+
 TEST_CASE("bad requests get a plain answer, and the next ones are served") {
     OneServer one;
     one.program.with("\"max_open\":40", "\"max_open\":5");
