After SIGTERM open connections are served for half the time until SIGKILL

Now clients go on using open connections for half of the time that is left before SIGKILL may come, and a multiget taken then has no more time than is left, so the module ends it before. Test: the planned restart (a connection is used again 1 s after SIGTERM) fails without the change.

--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -15,9 +15,10 @@
 // After SIGTERM new connections come for 0.4 s at the longest, and each time limit is 50 ms longer on
 // sockets.
 constexpr Time kAcceptOn = 4'500;
-// What comes up to 0.7 s after SIGTERM is given its whole time: until then clients may go on using their
-// connections, since the other front nodes may be starting just now.
-constexpr Time kServeOn = 6'500;
+// SIGKILL comes no earlier than the longest route timeout (3 s at most) and this after SIGTERM, but for a
+// margin.
+constexpr Time kLongestStop = 30'000;
+constexpr Time kStopOn = 7'000 - 1'000;
 constexpr Time kRetryAccept = 500;
 // A client is owed an error or a close within 3 s of connecting, whatever it does, and a request that has
 // begun no more time than that; a connection without an open request may be closed after 2 s.
@@ -66,7 +67,11 @@
     if (stopping_) return;
     stopping_ = true;
     accept_until_ = scheduler_.now() + kAcceptOn;
-    serve_until_ = scheduler_.now() + kServeOn;
+    // Clients go on using their connections for half of the time that is left: the other front nodes may be
+    // starting just now, and nobody else would answer. What still comes must end before the kill.
+    const Time left = std::min(patience_, kLongestStop) + kStopOn;
+    serve_until_ = scheduler_.now() + left / 2;
+    answer_until_ = scheduler_.now() + left;
     waiter_->signal();
 }
 
@@ -303,7 +308,7 @@
         ms > kMostRemainingMs) {
         return "X-Remaining-Ms is malformed";
     }
-    asked.not_after = arrived + Time{ms} * 10;
+    asked.not_after = std::min(arrived + Time{ms} * 10, answer_until_);
     const auto* repeat = request.header("x-resent");
     asked.repeat = repeat != nullptr && *repeat == "1";
     return read_parts(request.take_body(), asked);
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -82,6 +82,7 @@
     bool accepting_ = false;
     Time accept_until_ = net::kNever;
     Time serve_until_ = net::kNever;
+    Time answer_until_ = net::kNever;
     std::size_t most_at_once_ = 0;
     std::list<std::unique_ptr<Connection>> connections_;
     net::Fd listener_;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -370,6 +370,7 @@
     auto late = one.program.client();
     late.say(post("again", "t2", asks({2})));
     CHECK(one.link.frame() == "St2.2 2 1\nq");
+    usleep(1'000'000);
     idle.say("GET /up HTTP/1.1\r\n\r\n");  // what is open goes on for a while, and is closed when idle
     CHECK(idle.answer() == "200 up\n");
     CHECK(idle.ended());
