A server that failed a part comes last for what may not run twice

The error share that sets a server aside goes back by an eighth with each answer, and between two non-retriable parts a server answers dozens. Now a failed send, like one never answered, keeps non-retriable parts away for 32 latency budgets (16 before) unless no other replica is left; retriable parts go there as before. Test: a server that failed one part; fails without the change.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -133,6 +133,7 @@
                 break;
             case Outcome::kError:
                 s_.errors += (1 - s_.errors) * kErrorStep;
+                s_.lost = post_.now;
                 s_.credit = std::max(0.0, s_.credit - 1);
                 if (s_.errors > kErrorMark || trial) set_aside(Standing::kFailing, "errors");
                 break;
@@ -428,8 +429,8 @@
 private:
     static constexpr double kEarned = 1.5;        // parts, by an answer within half its latency budget
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
-    static constexpr Time kLosesFor = 16;         // latency budgets that one is shunned for a lost send
-    static constexpr double kHopeful = 0.4;       // of the time left that an expected wait may take
+    static constexpr Time kLosesFor = 32;    // latency budgets that a server is shunned for a failed send
+    static constexpr double kHopeful = 0.4;  // of the time left that an expected wait may take
 
     void log_sends(int taken, int sent) {
         log_.note({post_.now, taken, sent}, post_.now - further_.look_back - slack_);
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -40,7 +40,7 @@
     double credit = 0;
     Time wait = 0;  // what answers lately had to wait, when last seen
     Time wait_seen = 0;
-    Time lost = 0;        // when a send was last found that it will never answer
+    Time lost = 0;        // when it last failed a send, or was found never to answer one
     Time oldest_out = 0;  // when the oldest send still out was sent; 0 if none, or aside
     bool operator==(const Card&) const = default;
 };
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -166,7 +166,7 @@
     Time slow = 0;  // a longer silence is suspicious
     Time wait = 0;  // what answers lately had to wait, when last seen
     Time wait_seen = 0;
-    Time lost = 0;  // when a send was last found that it will never answer
+    Time lost = 0;  // when it last failed a send, or was found never to answer one
     double errors = 0;
     int fulls = 0;  // on end
     double credit = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -377,6 +377,18 @@
 )");
 }
 
+TEST_CASE(
+    "a server that failed one part is the last for what must not run twice, others go there as before") {
+    Script s;
+    s.list("A0 B1d").pass(5).arrive(1, kWholly, {1}, 0).end({100}, Outcome::kError).pass(1'000);
+    s.list("A0d B1").arrive(2, kWholly, {1}, 0).list("A0 B1").quietly();
+    s.arrive(3, kOnce, {1}, 0).arrive(4, kWholly, {1}, 0);
+    CHECK(s.trace() == R"(
+1000 send 300 to B
+1000 send 400 to A
+)");
+}
+
 TEST_CASE("a lost connection is not a lost server: one part goes alone, and tells") {
     Script s;
     s.list("A0 B1d").arrive(1, kOnce, {1}, 3).arrive(2, kOnce, {1}, 3).end({100, 200}, Outcome::kReset);
