A connection lost by a living server is one reset, no error of that server

Errors are now only what servers answer as failed; what is lost with a connection is one reset (a trial with one part), the rest cancelled, as before. A server that spoils all it answers is set aside by the reset on trial.

--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -227,10 +227,10 @@
     lose(connection, rest);
 }
 
-// The connection is of no further use, though its server lives. That is one failed answer: to the send that
-// is named, else to the one that is out for longest. What else is out goes with the connection, which tells
-// nothing about its server. Guards against taking a server that spoilt one answer of many, or closed a
-// connection under a call, for one that died and comes back cold.
+// The connection is of no further use, though its server lives. That is one reset: of the send that is named,
+// else of the one that is out for longest. What else is out goes with the connection, which tells nothing
+// about its server. Guards against blaming a server for each send on a connection of which one answer was
+// spoilt, or that closed under a call.
 void ServerSide::lose(Connection& connection, std::string_view rest) {
     connection.lost = true;
     const auto named = connection.out.find(std::string(rest.substr(0, rest.find(' '))));
@@ -242,7 +242,7 @@
                                          [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
     const auto which = named != connection.out.end() ? named : oldest;
     if (which == connection.out.end() || sent_.at(which->second).stage != Stage::kOut) return;
-    end_send(which->second, Outcome::kError);
+    end_send(which->second, Outcome::kReset);
 }
 
 bool ServerSide::take_result(Connection& connection, std::string_view rest) {
