--- a/src/store/decide.cpp
+++ b/src/store/decide.cpp
@@ -244,7 +244,11 @@
         }
         at->second.spill = Spill::kNo;
         spill_pending_ -= at->second.bytes;
-        if (at->second.place == Place::kNowhere) place(at);
+        if (at->second.place != Place::kNowhere) continue;
+        if (ref.half == Half::kIntent && !at->second.awaited)
+            drop(at);  // turned away meanwhile, with a refusal of its own
+        else
+            place(at);
     }
 }
 
@@ -337,7 +341,7 @@
     waits_.erase({held.give_up, at->first});
     held.awaited = false;
     const bool on_its_way = held.place == Place::kInWrite || held.spill == Spill::kInWrite;
-    if (!on_its_way) drop(at, why == Why::kEntryRefused);
+    if (!on_its_way) drop(at);
 }
 
 // When the store is tried next, or a slow one may have caught up.
--- /dev/null
+++ b/src/store/pq.hpp
@@ -0,0 +1,107 @@
+// libpq, loaded when a PostgreSQL store is stated and not before: with the libraries that it brings along it
+// would double the resident size of a front node that has none.
+#pragma once
+
+#include <libpq-fe.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "store/sql.hpp"
+
+namespace pinedoor::store {
+
+class Pq {
+public:
+    Pq();  // throws SqlError if libpq is not installed
+    ~Pq();
+    Pq(const Pq&) = delete;
+    Pq& operator=(const Pq&) = delete;
+
+    decltype(&PQconnectStart) connect_start;
+    decltype(&PQconnectPoll) connect_poll;
+    decltype(&PQconnectdb) connect_db;
+    decltype(&PQfinish) finish;
+    decltype(&PQstatus) status;
+    decltype(&PQsocket) socket;
+    decltype(&PQsetnonblocking) set_nonblocking;
+    decltype(&PQenterPipelineMode) enter_pipeline;
+    decltype(&PQpipelineSync) pipeline_sync;
+    decltype(&PQsendPrepare) send_prepare;
+    decltype(&PQsendQueryPrepared) send_prepared;
+    decltype(&PQexecParams) exec_params;
+    decltype(&PQflush) flush;
+    decltype(&PQconsumeInput) consume_input;
+    decltype(&PQisBusy) is_busy;
+    decltype(&PQgetResult) get_result;
+    decltype(&PQresultStatus) result_status;
+    decltype(&PQresultErrorField) error_field;
+    decltype(&PQerrorMessage) error_message;
+    decltype(&PQntuples) rows;
+    decltype(&PQnfields) columns;
+    decltype(&PQftype) type;
+    decltype(&PQgetvalue) value;
+    decltype(&PQgetlength) length;
+    decltype(&PQgetisnull) is_null;
+    decltype(&PQclear) clear;
+    decltype(&PQconninfoParse) parse_conninfo;
+    decltype(&PQconninfoFree) free_conninfo;
+    decltype(&PQfreemem) free_memory;
+
+private:
+    void* library_ = nullptr;
+};
+
+class PqResult {
+public:
+    PqResult(const Pq& pq, PGresult* result) : pq_(pq), result_(result) {}
+    ~PqResult() { pq_.clear(result_); }
+    PqResult(const PqResult&) = delete;
+    PqResult& operator=(const PqResult&) = delete;
+
+    ExecStatusType status() const { return pq_.result_status(result_); }
+    std::string state() const;  // SQLSTATE of an error
+    std::string why() const;
+    std::vector<Row> read() const;
+
+private:
+    const Pq& pq_;
+    PGresult* result_;
+};
+
+// The values as libpq takes them: as text, with the types of what they are here.
+class PqValues {
+public:
+    explicit PqValues(const std::vector<Value>& values);
+    int count() const { return static_cast<int>(texts_.size()); }
+    const Oid* types() const { return types_.data(); }
+    const char* const* values() const { return pointers_.data(); }
+    const int* lengths() const { return nullptr; }
+
+private:
+    std::vector<std::string> texts_;
+    std::vector<Oid> types_;
+    std::vector<const char*> pointers_;
+};
+
+SqlError::Kind kind_of_state(const std::string& sqlstate);
+
+// A database for the command line; each call waits for its end. Throws SqlError.
+class PgDb : public SqlDb {
+public:
+    explicit PgDb(const std::string& conninfo);
+    ~PgDb() override;
+
+    std::vector<Row> run(const std::string& statement, const std::vector<Value>& values = {}) override;
+    void begin() override { run("BEGIN"); }
+    void commit() override;
+    void roll_back() noexcept override;
+    std::string kind() const override { return "postgres"; }
+
+private:
+    Pq pq_;
+    PGconn* connection_ = nullptr;
+};
+
+}  // namespace pinedoor::store
