--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -97,8 +97,8 @@
     }
 }
 
-bool is_readable(const Fd& fd) {
-    pollfd ready{fd.get(), POLLIN, 0};
+bool is_readable(int fd) {
+    pollfd ready{fd, POLLIN, 0};
     return poll(&ready, 1, 0) == 1 && (ready.revents & POLLIN) != 0;
 }
 
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -40,7 +40,7 @@
 Fd connect_to(Endpoint endpoint);                    // under way, or empty if it failed at once
 int socket_error(const Fd& fd);                      // of a connect that was under way; 0: it is up
 std::pair<Fd, int> accept_from(const Fd& listener);  // or empty, with the error's number
-bool is_readable(const Fd& fd);                      // or a listener's queue is not empty
+bool is_readable(int fd);                            // or a listener's queue is not empty
 void end_writing(const Fd& fd);
 
 }  // namespace pinedoor::net
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -108,7 +108,7 @@
 bool ClientSide::take_all_queued() {
     for (;;) {
         if (connections_.size() >= most_connections_) {
-            if (!net::is_readable(listener_)) {
+            if (!net::is_readable(listener_.get())) {
                 waiter_->used_up(net::kRead);
                 return true;
             }
--- a/src/store/pg_backend.hpp
+++ b/src/store/pg_backend.hpp
@@ -2,6 +2,7 @@
 // group of entries in one transaction and one round trip.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -64,6 +65,7 @@
     std::function<void()> lost_;
     std::unique_ptr<PGconn, Finish> connection_;
     std::map<std::string, std::string> prepared_;  // statement to its name on this connection
+    std::uint64_t last_name_ = 0;
     std::vector<bool> awaited_;  // of what was sent: does its result count (else it is a preparation's)
     std::size_t results_ = 0;
     bool up_ = false;
@@ -72,7 +74,6 @@
     std::function<void(Enrolled)> connected_;
     Registration registration_;
     std::unique_ptr<net::Waiter> socket_;
-    net::Waiter asked_;
     net::Task task_;  // last: goes first
 };
 
--- a/src/store/sql.cpp
+++ b/src/store/sql.cpp
@@ -1,7 +1,5 @@
 #include "store/sql.hpp"
 
-#include <utility>
-
 namespace pinedoor::store {
 namespace {
 
@@ -70,6 +68,9 @@
     "UPDATE claims SET state = $6 WHERE tenant = $1 AND ikey = $2 AND node = $3 AND incarnation = $4 AND "
     "number = $5";
 
+constexpr const char* kSeeSchema = "SELECT schema_version FROM pinedoor_meta";
+constexpr const char* kPostgresHasTables = "SELECT CASE WHEN to_regclass('pinedoor_meta') IS NULL THEN 0 ELSE 1 END";
+
 Value number(std::uint64_t value) { return static_cast<std::int64_t>(value); }
 
 }  // namespace
@@ -87,19 +88,20 @@
 
 // --- Schema ---
 
+Statement postgres_has_tables() { return {kPostgresHasTables, {}}; }
+Statement see_schema() { return {kSeeSchema, {}}; }
+
 int schema_version(SqlDb& db) {
     const char* const there =
         db.kind() == "sqlite"
             ? "SELECT count(*) FROM sqlite_master WHERE type = 'table' AND name = 'pinedoor_meta'"
-            : "SELECT count(*) FROM information_schema.tables WHERE table_name = 'pinedoor_meta' AND "
-              "table_schema = current_schema()";
+            : kPostgresHasTables;
     if (number_of(db.run(there).at(0).at(0)) == 0) return 0;
-    const auto rows = db.run("SELECT schema_version FROM pinedoor_meta");
+    const auto rows = db.run(kSeeSchema);
     return rows.empty() ? 0 : static_cast<int>(number_of(rows[0].at(0)));
 }
 
-void check_schema(SqlDb& db) {
-    const int version = schema_version(db);
+void check_schema(int version) {
     if (version == kSchemaVersion) return;
     const auto ours = std::to_string(kSchemaVersion);
     const auto theirs = std::to_string(version);
@@ -115,7 +117,7 @@
 std::vector<int> migrate(SqlDb& db) {
     std::vector<int> gone_through;
     for (int version = schema_version(db); version != kSchemaVersion; ++version) {
-        if (version > kSchemaVersion) check_schema(db);  // throws
+        if (version > kSchemaVersion) check_schema(version);  // throws
         Transaction transaction(db);
         if (version == 0 && db.kind() == "postgres") {
             db.run("CREATE OR REPLACE FUNCTION pinedoor_now() RETURNS bigint LANGUAGE sql AS "
@@ -131,46 +133,60 @@
 
 // --- Incarnations ---
 
+std::vector<Statement> enroll_look(const Registration& registration) {
+    return {{"SELECT coalesce(max(incarnation), 0) FROM incarnations WHERE node = $1", {registration.node}},
+            {"SELECT birth FROM incarnations WHERE node = $1 AND incarnation = $2",
+             {registration.node, number(registration.incarnation)}}};
+}
+
+std::uint64_t enroll_pick(const Registration& registration, const std::vector<std::vector<Row>>& seen) {
+    const auto highest = static_cast<std::uint64_t>(number_of(seen.at(0).at(0).at(0)));
+    const auto& births = seen.at(1);
+    if (registration.incarnation != 0 && (births.empty() || text_of(births[0].at(0)) == registration.birth))
+        return registration.incarnation;
+    if (registration.incarnation != 0 && !registration.may_change) {
+        throw SqlError(Kind::kStore, "incarnation " + std::to_string(registration.incarnation) + " of node '" +
+                                         registration.node +
+                                         "' is another process's: two nodes share a name, or a folder was copied");
+    }
+    return highest + 1;
+}
+
+std::vector<Statement> enroll_write(const Registration& registration) {
+    return {{"INSERT INTO incarnations(node, incarnation, birth, started, seen) "
+             "VALUES ($1, $2, $3, pinedoor_now(), pinedoor_now()) ON CONFLICT (node, incarnation) DO UPDATE SET "
+             "seen = pinedoor_now() WHERE incarnations.birth = excluded.birth",
+             {registration.node, number(registration.incarnation), registration.birth}},
+            {"SELECT birth FROM incarnations WHERE node = $1 AND incarnation = $2",
+             {registration.node, number(registration.incarnation)}}};
+}
+
+void enroll_check(const Registration& registration, const std::vector<Row>& seen) {
+    if (!seen.empty() && text_of(seen[0].at(0)) == registration.birth) return;
+    throw SqlError(Kind::kStore, "another process of node '" + registration.node + "' starts just now");
+}
+
 std::uint64_t enroll(SqlDb& db, const Registration& registration) {
     Transaction transaction(db);
-    const auto highest = static_cast<std::uint64_t>(number_of(
-        db.run("SELECT coalesce(max(incarnation), 0) FROM incarnations WHERE node = $1", {registration.node})
-            .at(0)
-            .at(0)));
-    auto mine = registration.incarnation;
-    const auto taken = [&] {
-        const auto rows = db.run("SELECT birth FROM incarnations WHERE node = $1 AND incarnation = $2",
-                                 {registration.node, number(mine)});
-        return !rows.empty() && text_of(rows[0][0]) != registration.birth;
-    };
-    if (mine == 0 || (mine <= highest && taken())) {
-        if (mine != 0 && !registration.may_change) {
-            throw SqlError(Kind::kStore, "incarnation " + std::to_string(mine) + " of node '" +
-                                             registration.node + "' is another process's: two nodes share a " +
-                                             "name, or a folder was copied");
-        }
-        mine = highest + 1;
-    }
-    db.run("INSERT INTO incarnations(node, incarnation, birth, started, seen) "
-           "VALUES ($1, $2, $3, pinedoor_now(), pinedoor_now()) ON CONFLICT (node, incarnation) DO UPDATE SET "
-           "seen = pinedoor_now() WHERE incarnations.birth = excluded.birth",
-           {registration.node, number(mine), registration.birth});
-    if (taken()) {
-        throw SqlError(Kind::kStore, "another process of node '" + registration.node + "' starts just now");
-    }
+    std::vector<std::vector<Row>> seen;
+    for (const auto& [text, values] : enroll_look(registration)) seen.push_back(db.run(text, values));
+    auto mine = registration;
+    mine.incarnation = enroll_pick(registration, seen);
+    for (const auto& [text, values] : enroll_write(mine)) seen.push_back(db.run(text, values));
+    enroll_check(mine, seen.back());
     transaction.commit();
-    return mine;
+    return mine.incarnation;
 }
 
-void say_alive(SqlDb& db, const Registration& registration) {
-    db.run("UPDATE incarnations SET seen = pinedoor_now() WHERE node = $1 AND incarnation = $2 AND birth = $3",
-           {registration.node, number(registration.incarnation), registration.birth});
+Statement alive(const Registration& registration) {
+    return {"UPDATE incarnations SET seen = pinedoor_now() WHERE node = $1 AND incarnation = $2 AND birth = $3",
+            {registration.node, number(registration.incarnation), registration.birth}};
 }
 
-void say_ended(SqlDb& db, const Registration& registration) {
-    db.run("UPDATE incarnations SET seen = pinedoor_now(), ended = pinedoor_now() "
-           "WHERE node = $1 AND incarnation = $2 AND birth = $3",
-           {registration.node, number(registration.incarnation), registration.birth});
+Statement ended(const Registration& registration) {
+    return {"UPDATE incarnations SET seen = pinedoor_now(), ended = pinedoor_now() "
+            "WHERE node = $1 AND incarnation = $2 AND birth = $3",
+            {registration.node, number(registration.incarnation), registration.birth}};
 }
 
 std::string alive_term(const std::string& record, const std::string& lease) {
@@ -251,6 +267,16 @@
                            values};
 }
 
+Statement see_state(const Intent& intent) {
+    return {"SELECT state FROM claims WHERE tenant = $1 AND ikey = $2", {intent.tenant, intent.key}};
+}
+
+// For an intent that is not there: a claim that is free again is no obstacle.
+Claim claim_from(const Intent& intent, const std::vector<Row>& rows, const std::vector<Row>& states) {
+    if (!states.empty() && number_of(states[0].at(0)) == 1) return {};
+    return claim_from(intent, rows);
+}
+
 std::vector<Claim> write_entries(SqlDb& db, const std::vector<Entry>& entries, Time lease) {
     std::vector<Claim> claims(entries.size());
     Transaction transaction(db);
@@ -275,33 +301,31 @@
         if (is_keyed_intent(entry) && !found.present.back()) {
             const auto& intent = std::get<Intent>(entry);
             const auto see = see_claim(intent, lease);
-            claim = claim_from(intent, db.run(see.text, see.values));
-            // A claim that is free again is no obstacle: the intent is simply not there.
-            if (claim.kind == Claim::Kind::kHeld &&
-                number_of(db.run("SELECT state FROM claims WHERE tenant = $1 AND ikey = $2",
-                                 {intent.tenant, intent.key})
-                              .at(0)
-                              .at(0)) == 1) {
-                claim = {};
-            }
+            const auto state = see_state(intent);
+            const auto seen = db.run(see.text, see.values);
+            claim = claim_from(intent, seen, db.run(state.text, state.values));
         }
         found.claims.push_back(std::move(claim));
     }
     return found;
 }
 
+std::vector<Statement> pruning(Time before, std::size_t most) {
+    const auto limit = static_cast<std::int64_t>(most);
+    return {{"DELETE FROM claims WHERE (tenant, ikey) IN (SELECT tenant, ikey FROM claims WHERE asked < $1 AND "
+             "state <> 0 ORDER BY asked LIMIT $2)",
+             {before, limit}},
+            {"DELETE FROM records WHERE (node, incarnation, number) IN (SELECT node, incarnation, number FROM "
+             "records WHERE asked < $1 AND fate IS NOT NULL ORDER BY asked LIMIT $2) RETURNING number",
+             {before, limit}}};
+}
+
 std::size_t prune(SqlDb& db, Time before, std::size_t most) {
     Transaction transaction(db);
-    const auto limit = static_cast<std::int64_t>(most);
-    db.run("DELETE FROM claims WHERE (tenant, ikey) IN (SELECT tenant, ikey FROM claims WHERE asked < $1 AND "
-           "state <> 0 ORDER BY asked LIMIT $2)",
-           {before, limit});
-    const auto gone = db.run(
-        "DELETE FROM records WHERE (node, incarnation, number) IN (SELECT node, incarnation, number FROM records "
-        "WHERE asked < $1 AND fate IS NOT NULL ORDER BY asked LIMIT $2) RETURNING number",
-        {before, limit});
+    std::size_t gone = 0;
+    for (const auto& [text, values] : pruning(before, most)) gone = db.run(text, values).size();
     transaction.commit();
-    return gone.size();
+    return gone;
 }
 
 }  // namespace pinedoor::store
--- a/src/store/sql.hpp
+++ b/src/store/sql.hpp
@@ -61,9 +61,10 @@
 // --- Schema ---
 
 inline constexpr int kSchemaVersion = 2;
-int schema_version(SqlDb& db);                       // 0: there is none
-void check_schema(SqlDb& db);                        // throws SqlError kSchema, which says what to do
-std::vector<int> migrate(SqlDb& db);                 // forward to this program's; the versions gone through
+int schema_version(SqlDb& db);               // 0: there is none
+void check_schema(int version);              // throws SqlError kSchema, which says what to do
+inline void check_schema(SqlDb& db) { check_schema(schema_version(db)); }
+std::vector<int> migrate(SqlDb& db);         // forward to this program's; the versions gone through
 
 // --- What a front node writes ---
 
@@ -76,19 +77,31 @@
 // Makes the incarnation known as alive. The number to use, which is another one if that one was taken by
 // somebody else; throws SqlError kStore if it may not change.
 std::uint64_t enroll(SqlDb& db, const Registration& registration);
-void say_alive(SqlDb& db, const Registration& registration);
-void say_ended(SqlDb& db, const Registration& registration);
 
-// A statement with its values. Those of an entry are to be run in order, in one transaction; a claim's end is
-// what kSeeClaim then says.
+// A statement with its values; the text lives as long as the program.
 struct Statement {
     const char* text;
     std::vector<Value> values;
 };
+// The same in steps, for who cannot wait: look, pick the number from what was seen, write, and look again.
+std::vector<Statement> enroll_look(const Registration& registration);
+std::uint64_t enroll_pick(const Registration& registration, const std::vector<std::vector<Row>>& seen);
+std::vector<Statement> enroll_write(const Registration& registration);
+void enroll_check(const Registration& registration, const std::vector<Row>& seen);
+Statement alive(const Registration& registration);
+Statement ended(const Registration& registration);
+std::vector<Statement> pruning(Time before, std::size_t most);  // the last tells a row for each record gone
+
+Statement postgres_has_tables();  // one row: 1 or 0
+Statement see_schema();           // one row: the version
+
+// Those of an entry are to be run in order, in one transaction; its claim's end is what see_claim() then says.
 std::vector<Statement> writing(const Entry& entry);
 Statement see_claim(const Intent& intent, Time lease);
 Claim claim_from(const Intent& intent, const std::vector<Row>& rows);
 Statement see_entry(const Entry& entry);  // one row with a number that is not 0 if the entry is there
+Claim claim_from(const Intent& intent, const std::vector<Row>& rows, const std::vector<Row>& states);
+Statement see_state(const Intent& intent);
 
 std::vector<Claim> write_entries(SqlDb& db, const std::vector<Entry>& entries, Time lease);  // one transaction
 struct Presence {
--- a/src/store/sqlite_backend.cpp
+++ b/src/store/sqlite_backend.cpp
@@ -102,7 +102,8 @@
         [delete_before, most](Inside& inside) {
             std::size_t deleted = 0;
             inside.attempt([&](Written&) {
-                say_alive(*inside.db, inside.registration);
+                const auto statement = alive(inside.registration);
+                inside.db->run(statement.text, statement.values);
                 if (delete_before > 0) deleted = prune(*inside.db, delete_before, most);
             });
             return deleted;
@@ -113,7 +114,10 @@
 void SqliteBackend::leave(Time, std::function<void()> done) {
     hand_over<bool>(
         [](Inside& inside) {
-            inside.attempt([&](Written&) { say_ended(*inside.db, inside.registration); });
+            inside.attempt([&](Written&) {
+                const auto statement = ended(inside.registration);
+                inside.db->run(statement.text, statement.values);
+            });
             inside.db.reset();
             return true;
         },
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <random>
 #include <sstream>
 #include <string>
@@ -24,6 +25,7 @@
 #include "net/socket.hpp"
 #include "parse/frame.hpp"
 #include "parse/http.hpp"
+#include "stand_ins/scratch.hpp"
 
 namespace pinedoor::test {
 
@@ -301,15 +303,42 @@
         discovery_ = net::to_text(discovery);
         return *this;
     }
+    // Our TOML; each @ in it stands for the folder, which lasts as long as this object.
+    Program& with_settings(const std::string& toml) {
+        settings_ = toml;
+        return *this;
+    }
+    Program& with_environment(const std::string& name, const std::string& value) {
+        environment_[name] = value;
+        return *this;
+    }
+    const std::string& folder() const { return folder_; }
+    net::Endpoint at() const { return at_; }
+    // What `pinedoor store ...` prints on both its outputs, and its exit code behind that.
+    std::string store(const std::string& words) const {
+        const auto command = std::string(PINEDOOR_PROGRAM) + " store -s " + folder_ + "/pinedoor.toml " + words + " 2>&1";
+        std::string text;
+        auto* const pipe = popen(command.c_str(), "r");
+        for (char bytes[4096]; const auto count = fread(bytes, 1, sizeof bytes, pipe);) text.append(bytes, count);
+        const int code = WEXITSTATUS(pclose(pipe));
+        return code == 0 ? text : text + "exit " + std::to_string(code) + '\n';
+    }
     void rewrite() const { std::ofstream(folder_ + "/config.json") << config_; }
     Program& start() {
-        char folder[] = "/tmp/pinedoor-test-XXXXXX";
-        if (folder_.empty()) folder_ = mkdtemp(folder);
+        auto folder = scratch() + "/pinedoor-test-XXXXXX";
+        if (folder_.empty()) folder_ = mkdtemp(folder.data());
         rewrite();
+        if (!settings_.empty()) {
+            auto text = settings_;
+            for (auto at = text.find('@'); at != std::string::npos; at = text.find('@', at)) text.replace(at, 1, folder_);
+            std::ofstream(folder_ + "/pinedoor.toml") << text;
+        }
         pid_ = fork();
         if (pid_ == 0) {
             setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
             for (const char* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) unsetenv(name);
+            if (!settings_.empty()) setenv("PINEDOOR_SETTINGS", (folder_ + "/pinedoor.toml").c_str(), 1);
+            for (const auto& [name, value] : environment_) setenv(name.c_str(), value.c_str(), 1);
             if (!discovery_.empty()) setenv("ROUTER_DISCOVERY", discovery_.c_str(), 1);
             const int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
             dup2(log, 2);
@@ -367,14 +396,16 @@
     std::string config_;
     std::string folder_;
     std::string discovery_;
+    std::string settings_;
+    std::map<std::string, std::string> environment_;
     pid_t pid_ = 0;
 };
 
 inline std::string post(const std::string& op_type, const std::string& name, const std::string& body,
-                        int remaining_ms = 4'000) {
+                        int remaining_ms = 4'000, const std::string& more_headers = "") {
     return "POST /" + op_type + " HTTP/1.1\r\nHost: x\r\nx-txn: " + name + "\r\nX-Lane: " + op_type +
            "\r\nX-Org: acme, inc\r\nX-Remaining-Ms: " + std::to_string(remaining_ms) +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+           "\r\n" + more_headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 // A body that asks for these shards, with even shares.
--- /dev/null
+++ b/tests/stand_ins/postgres.cpp
@@ -0,0 +1,505 @@
+#include "stand_ins/postgres.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace pinedoor::test {
+namespace {
+
+using store::Row;
+using store::SqlError;
+using store::Value;
+
+constexpr std::uint32_t kInt8 = 20;
+constexpr std::uint32_t kText = 25;
+
+void put32(std::string& out, std::uint32_t value) {
+    for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift & 0xffU));
+}
+void put16(std::string& out, std::uint32_t value) {
+    out.push_back(static_cast<char>(value >> 8U & 0xffU));
+    out.push_back(static_cast<char>(value & 0xffU));
+}
+
+class In {  // a message's fields; what is missing ends the connection
+public:
+    explicit In(std::string_view bytes) : rest_(bytes) {}
+    std::uint32_t number(std::size_t bytes) {
+        std::uint32_t value = 0;
+        for (const char c : take(bytes)) value = value << 8U | static_cast<unsigned char>(c);
+        return value;
+    }
+    std::string text() {
+        const auto end = rest_.find('\0');
+        if (end == std::string_view::npos) throw std::runtime_error("a text without end");
+        std::string out(rest_.substr(0, end));
+        rest_.remove_prefix(end + 1);
+        return out;
+    }
+    std::string_view take(std::size_t count) {
+        if (count > rest_.size()) throw std::runtime_error("a message that is too short");
+        const auto out = rest_.substr(0, count);
+        rest_.remove_prefix(count);
+        return out;
+    }
+    std::string_view rest() const { return rest_; }
+
+private:
+    std::string_view rest_;
+};
+
+std::string base64(std::string_view bytes) {
+    std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                     reinterpret_cast<const unsigned char*>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(size));
+    return out;
+}
+
+std::string unbase64(std::string_view text) {
+    std::string out(text.size() / 4 * 3 + 3, '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                     reinterpret_cast<const unsigned char*>(text.data()),
+                                     static_cast<int>(text.size()));
+    if (size < 0) throw std::runtime_error("no base64");
+    out.resize(static_cast<std::size_t>(size));
+    while (text.ends_with('=')) {
+        text.remove_suffix(1);
+        out.pop_back();
+    }
+    return out;
+}
+
+std::string hmac(std::string_view key, std::string_view text) {
+    std::string out(32, '\0');
+    unsigned int size = 32;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char*>(text.data()),
+         text.size(), reinterpret_cast<unsigned char*>(out.data()), &size);
+    return out;
+}
+
+std::string sha256(std::string_view text) {
+    std::string out(32, '\0');
+    unsigned int size = 32;
+    EVP_Digest(text.data(), text.size(), reinterpret_cast<unsigned char*>(out.data()), &size, EVP_sha256(), nullptr);
+    return out;
+}
+
+std::string attribute(std::string_view message, char name) {
+    while (!message.empty()) {
+        const auto field = message.substr(0, message.find(','));
+        if (field.size() >= 2 && field[0] == name && field[1] == '=') return std::string(field.substr(2));
+        message.remove_prefix(std::min(message.size(), field.size() + 1));
+    }
+    throw std::runtime_error(std::string("SCRAM without ") + name);
+}
+
+bool counts_down(std::atomic<int>& fault) {
+    int left = fault.load();
+    while (left > 0 && !fault.compare_exchange_weak(left, left - 1)) {
+    }
+    return left == 1;
+}
+
+}  // namespace
+
+struct PostgresStandIn::Session {
+    Session(PostgresStandIn& server, net::Fd fd) : server_(server), fd_(std::move(fd)) {
+        thread_ = std::thread([this] {
+            try {
+                run();
+            } catch (const std::exception&) {  // ends the connection, as it would a real server's
+            }
+            db_.reset();
+            shutdown(fd_.get(), SHUT_RDWR);
+            done = true;
+        });
+    }
+    ~Session() {
+        cut();
+        thread_.join();
+    }
+    void cut() {
+        cut_ = true;
+        const linger now{1, 0};
+        setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        shutdown(fd_.get(), SHUT_RDWR);
+    }
+    std::atomic<bool> done = false;
+
+private:
+    struct Broken : std::runtime_error {
+        using std::runtime_error::runtime_error;
+    };
+    struct Prepared {
+        std::string text;
+        std::vector<std::uint32_t> types;
+    };
+
+    std::string read(std::size_t count) {
+        std::string bytes(count, '\0');
+        for (std::size_t got = 0; got < count;) {
+            const auto more = recv(fd_.get(), bytes.data() + got, count - got, 0);
+            if (more <= 0) throw Broken("the other end has gone");
+            got += static_cast<std::size_t>(more);
+        }
+        return bytes;
+    }
+    void flush() {
+        std::string_view rest = out_;
+        while (!rest.empty()) {
+            const auto step = server_.slow_bytes ? 1 : rest.size();
+            const auto count = ::send(fd_.get(), rest.data(), step, MSG_NOSIGNAL);
+            if (count <= 0) throw Broken("the other end has gone");
+            rest.remove_prefix(static_cast<std::size_t>(count));
+        }
+        out_.clear();
+    }
+    void say(char type, const std::string& body) {
+        out_.push_back(type);
+        put32(out_, static_cast<std::uint32_t>(body.size() + 4));
+        out_ += body;
+    }
+    void say_error(const std::string& state, const std::string& why) {
+        ++server_.errors;
+        std::string body;
+        for (const auto& [field, text] : {std::pair{'S', std::string("ERROR")}, {'V', "ERROR"}, {'C', state}, {'M', why}}) {
+            body.push_back(field);
+            body += text + '\0';
+        }
+        say('E', body + '\0');
+        skipping_ = true;
+        if (state_ == 'T') state_ = 'E';
+    }
+    void say_ready() {
+        say('Z', std::string(1, state_));
+        flush();
+    }
+
+    bool start_up() {
+        for (;;) {
+            const auto head = read(4);
+            const auto size = In(head).number(4);
+            if (size < 8 || size > 10'000) throw Broken("no start");
+            const auto body = read(size - 4);
+            In in(body);
+            const auto code = in.number(4);
+            if (code == 80877103 || code == 80877104) {  // SSLRequest, GSSENCRequest
+                out_ = "N";
+                flush();
+                continue;
+            }
+            if (code == 80877102) {  // CancelRequest
+                ++server_.cancels;
+                return false;
+            }
+            if (code != 196608) throw Broken("no version 3.0");
+            return true;
+        }
+    }
+    std::string sasl_message() {
+        flush();
+        const auto head = read(5);
+        if (head[0] != 'p') throw Broken("no password");
+        return read(In(std::string_view(head).substr(1)).number(4) - 4);
+    }
+    void authenticate() {
+        std::string body;
+        put32(body, 10);
+        say('R', body + std::string("SCRAM-SHA-256\0\0", 15));
+        const auto first = sasl_message();
+        In in(first);
+        if (in.text() != "SCRAM-SHA-256") throw Broken("another mechanism");
+        const std::string client_first(in.take(in.number(4)));
+        const auto bare = client_first.substr(client_first.find(",,") + 2);
+        const std::string salt = "a salt of sixteen";
+        const auto nonce = attribute(bare, 'r') + "pinedoor";
+        const auto server_first = "r=" + nonce + ",s=" + base64(salt) + ",i=4096";
+        body.clear();
+        put32(body, 11);
+        say('R', body + server_first);
+        const auto last = sasl_message();
+        const auto without_proof = last.substr(0, last.rfind(",p="));
+        std::string salted(32, '\0');
+        PKCS5_PBKDF2_HMAC(server_.password_.data(), static_cast<int>(server_.password_.size()),
+                          reinterpret_cast<const unsigned char*>(salt.data()), static_cast<int>(salt.size()), 4096,
+                          EVP_sha256(), 32, reinterpret_cast<unsigned char*>(salted.data()));
+        const auto message = bare + ',' + server_first + ',' + without_proof;
+        const auto client_key = hmac(salted, "Client Key");
+        auto proof = hmac(sha256(client_key), message);
+        for (std::size_t i = 0; i < proof.size(); ++i) proof[i] = static_cast<char>(proof[i] ^ client_key[i]);
+        if (attribute(last, 'r') != nonce || unbase64(attribute(last, 'p')) != proof) {
+            ++server_.wrong_passwords;
+            say_error("28P01", "password authentication failed");
+            flush();
+            throw Broken("wrong password");
+        }
+        body.clear();
+        put32(body, 12);
+        say('R', body + "v=" + base64(hmac(hmac(salted, "Server Key"), message)));
+        body.clear();
+        put32(body, 0);
+        say('R', body);
+    }
+
+    void run() {
+        if (!start_up()) return;
+        authenticate();
+        for (const auto& [name, value] : {std::pair<std::string, std::string>{"server_version", "15.0"},
+                                          {"client_encoding", "UTF8"},
+                                          {"standard_conforming_strings", "on"}}) {
+            say('S', name + '\0' + value + '\0');
+        }
+        std::string key;
+        put32(key, 4711);
+        put32(key, 12345);
+        say('K', key);
+        say_ready();
+        db_ = std::make_unique<store::SqliteDb>(server_.file_);
+        for (;;) {
+            if (!more_has_come()) flush();
+            const auto head = read(5);
+            const auto size = In(std::string_view(head).substr(1)).number(4);
+            if (size < 4 || size > (8U << 20U)) throw Broken("an impossible length");
+            const auto body = read(size - 4);
+            if (head[0] == 'X') return;
+            if (head[0] == 'S') {
+                skipping_ = false;
+                if (state_ == 'I' && open_) end_transaction("COMMIT");
+                say_ready();
+            } else if (!skipping_) {
+                take(head[0], In(body));
+            }
+        }
+    }
+    bool more_has_come() const {
+        pollfd ready{fd_.get(), POLLIN, 0};
+        return poll(&ready, 1, 0) == 1;
+    }
+    void take(char type, In in) {
+        try {
+            switch (type) {
+                case 'P': parse(in); break;
+                case 'B': bind(in); break;
+                case 'D': describe(in); break;
+                case 'E': execute(); break;
+                case 'C': say('3', ""); break;
+                case 'H': flush(); break;
+                case 'Q': simple(in.text()); break;
+                default: throw Broken("an unknown message");
+            }
+        } catch (const SqlError& error) {
+            say_error(error.kind == SqlError::Kind::kEntries ? "23000" : "XX000", error.what());
+            if (type == 'Q') {
+                skipping_ = false;
+                say_ready();
+            }
+        }
+    }
+    void parse(In& in) {
+        const auto name = in.text();
+        Prepared prepared{in.text(), {}};
+        for (auto count = in.number(2); count > 0; --count) prepared.types.push_back(in.number(4));
+        prepared_[name] = prepared;
+        say('1', "");
+    }
+    void bind(In& in) {
+        in.text();
+        const auto name = in.text();
+        const auto at = prepared_.find(name);
+        if (at == prepared_.end()) throw SqlError(SqlError::Kind::kStore, "no such prepared statement");
+        for (auto formats = in.number(2); formats > 0; --formats) in.number(2);
+        values_.clear();
+        const auto count = in.number(2);
+        for (std::uint32_t i = 0; i < count; ++i) {
+            const auto size = in.number(4);
+            if (size == 0xffffffffU) {
+                values_.emplace_back();
+                continue;
+            }
+            const std::string text(in.take(size));
+            std::int64_t number = 0;
+            if (i < at->second.types.size() && at->second.types[i] == kInt8) {
+                std::from_chars(text.data(), text.data() + text.size(), number);
+                values_.emplace_back(number);
+            } else {
+                values_.emplace_back(text);
+            }
+        }
+        text_ = at->second.text;
+        rows_.reset();
+        say('2', "");
+    }
+    void run_portal() {
+        if (!rows_) rows_ = run_sql(text_, values_);
+    }
+    void describe(In& in) {
+        if (in.number(1) == 'S') throw SqlError(SqlError::Kind::kStore, "statements are not described here");
+        run_portal();
+        say_columns();
+    }
+    void say_columns() {
+        if (rows_->empty()) return say('n', "");
+        std::string body;
+        put16(body, static_cast<std::uint32_t>(rows_->front().size()));
+        for (std::size_t i = 0; i < rows_->front().size(); ++i) {
+            bool number = false, text = false;
+            for (const auto& row : *rows_) {
+                number |= std::holds_alternative<std::int64_t>(row[i]);
+                text |= std::holds_alternative<std::string>(row[i]);
+            }
+            body += "c" + std::to_string(i) + '\0';
+            put32(body, 0);
+            put16(body, 0);
+            put32(body, number && !text ? kInt8 : kText);
+            put16(body, 0xffff);
+            put32(body, 0xffffffffU);
+            put16(body, 0);
+        }
+        say('T', body);
+    }
+    void execute() {
+        if (counts_down(server_.die_in_the_middle)) throw Broken("told to die");
+        run_portal();
+        say_rows();
+    }
+    void say_rows() {
+        for (const auto& row : *rows_) {
+            std::string body;
+            put16(body, static_cast<std::uint32_t>(row.size()));
+            for (const auto& value : row) {
+                if (std::holds_alternative<std::monostate>(value)) {
+                    put32(body, 0xffffffffU);
+                    continue;
+                }
+                const auto text = store::text_of(value);
+                put32(body, static_cast<std::uint32_t>(text.size()));
+                body += text;
+            }
+            say('D', body);
+        }
+        say('C', "DONE " + std::to_string(rows_->size()) + '\0');
+    }
+    void simple(const std::string& text) {
+        rows_ = run_sql(text, {});
+        if (!rows_->empty()) say_columns();
+        say_rows();
+        say_ready();
+    }
+
+    std::vector<Row> run_sql(const std::string& text, const std::vector<Value>& values) {
+        if (text == "BEGIN") {
+            db_->begin();
+            open_ = true;
+            state_ = 'T';
+            return {};
+        }
+        if (text == "COMMIT" || text == "ROLLBACK") {
+            end_transaction(state_ == 'E' ? "ROLLBACK" : text);
+            return {};
+        }
+        if (state_ == 'E') throw SqlError(SqlError::Kind::kStore, "the transaction is aborted");
+        if (text.starts_with("CREATE OR REPLACE FUNCTION")) return {};  // the SQLite side has its own
+        if (text.find("to_regclass") != std::string::npos) {
+            return db_->run("SELECT count(*) FROM sqlite_master WHERE type = 'table' AND name = 'pinedoor_meta'");
+        }
+        return db_->run(text, values);
+    }
+    void end_transaction(const std::string& how) {
+        const bool commit = how == "COMMIT";
+        if (commit && counts_down(server_.die_before_commit)) throw Broken("told to die");
+        if (commit && counts_down(server_.fail_commit)) {
+            db_->roll_back();
+            open_ = false;
+            state_ = 'I';
+            throw SqlError(SqlError::Kind::kStore, "told to fail");
+        }
+        while (commit && server_.stall_commits && !cut_) usleep(1'000);
+        if (cut_) throw Broken("killed");
+        if (commit && open_)
+            db_->commit();
+        else
+            db_->roll_back();
+        open_ = false;
+        state_ = 'I';
+        if (!commit) return;
+        ++server_.commits;
+        if (counts_down(server_.die_after_commit)) throw Broken("told to die");
+    }
+
+    PostgresStandIn& server_;
+    net::Fd fd_;
+    std::atomic<bool> cut_ = false;
+    std::string out_;
+    std::unique_ptr<store::SqliteDb> db_;
+    std::map<std::string, Prepared> prepared_;
+    std::string text_;  // of the portal
+    std::vector<Value> values_;
+    std::optional<std::vector<Row>> rows_;
+    bool skipping_ = false;
+    bool open_ = false;
+    char state_ = 'I';
+    std::thread thread_;
+};
+
+PostgresStandIn::PostgresStandIn(std::string file, std::string password)
+    : file_(std::move(file)), password_(std::move(password)),
+      listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    if (bind(listener_.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0 ||
+        getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address), &size) != 0 ||
+        listen(listener_.get(), 64) != 0) {
+        std::abort();
+    }
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { accept_all(); });
+}
+
+PostgresStandIn::~PostgresStandIn() {
+    stopping_ = true;
+    thread_.join();
+    kill();
+}
+
+std::string PostgresStandIn::conninfo() const {
+    return "hostaddr=127.0.0.1 port=" + std::to_string(port_) + " dbname=records user=pinedoor password=" + password_;
+}
+
+void PostgresStandIn::kill() {
+    const std::lock_guard lock(mutex_);
+    for (const auto& session : sessions_) session->cut();
+    sessions_.clear();
+}
+
+void PostgresStandIn::accept_all() {
+    while (!stopping_) {
+        pollfd ready{listener_.get(), POLLIN, 0};
+        if (poll(&ready, 1, 10) != 1) continue;
+        net::Fd fd(accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+        if (!fd || refuse) continue;  // closed at once
+        const int on = 1;
+        setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        ++connections;
+        const std::lock_guard lock(mutex_);
+        sessions_.remove_if([](const auto& each) { return each->done.load(); });
+        sessions_.push_back(std::make_unique<Session>(*this, std::move(fd)));
+    }
+}
+
+}  // namespace pinedoor::test
