--- /dev/null
+++ b/demo/main.cpp
@@ -0,0 +1,74 @@
+// Serves real multigets end to end on loopback: a front node with its store of record on, three stand-in index
+// servers, a discovery, and a client that prints what it asks and is told. In the middle the front node dies by
+// SIGKILL; then the client asks again, and the store tells what became of everything.
+#include <cstdio>
+
+#include "stand_ins/counting.hpp"
+#include "stand_ins/discovery.hpp"
+
+namespace {
+
+using namespace pinedoor::test;
+
+struct Show {
+    Program& program;
+    int number = 0;
+
+    void ask(const std::string& op_type, const std::vector<int>& shards, const std::string& text,
+             const std::string& key = "") {
+        auto client = program.client();
+        const auto headers = key.empty() ? key : "Idempotency-Key: \"" + key + "\"\r\n";
+        client.say(post(op_type, "demo-" + std::to_string(++number), asks(shards, text), 2'000, headers));
+        std::printf("  asks %zu shards, %-5s %-8s%s%s\n", shards.size(), op_type.c_str(), text.c_str(),
+                    key.empty() ? "" : "  key ", key.c_str());
+        std::printf("    -> %s\n", client.answer().c_str());
+    }
+    void say(const char* what) const { std::printf("\n%s\n", what); }
+};
+
+}  // namespace
+
+int main() {
+    Counting servers[3];
+    std::vector<Listed> listed;
+    for (auto& server : servers) listed.push_back({"s-" + std::to_string(listed.size() + 1), server.at()});
+    Discovery discovery(listed);
+    Program program(listed, discovery.at());
+    program.with_settings("[store]\nkind = \"sqlite\"\nfolder = \"@/store\"\nlease_ms = 1000\n").start();
+    Show show{program};
+    show.say("A front node, three index servers and a discovery are up. `again` may run twice, `once` must not.");
+    program.client();
+    if (program.counter_at("servers_known", 3) != 3 || program.counter_at("store_condition", 1) != 1) {
+        std::fprintf(stderr, "demo: the front node did not come up\n%s", program.log().c_str());
+        return 1;
+    }
+    show.ask("again", {1, 2, 3, 4}, "read-a");
+    show.ask("once", {5}, "booth-a", "a");
+    show.ask("once", {5}, "booth-a", "a");
+    show.ask("once", {6}, "booth-f", "f");
+    show.say("The next one runs at its server, which says nothing; in the middle of it the front node is killed.");
+    auto client = program.client();
+    client.say(post("once", "demo-killed", asks({7}, "booth-s"), 4'000, "Idempotency-Key: \"s\"\r\n"));
+    const auto ran = [&servers] {
+        int count = 0;
+        for (auto& server : servers) count += static_cast<int>(server.runs().count("booth-s"));
+        return count > 0;
+    };
+    for (int tries = 0; tries < 3'000 && !ran(); ++tries) usleep(1'000);
+    program.kill(SIGKILL);
+    std::printf("  asks 1 shard,  once  booth-s   key s\n    -> %s (the connection is gone)\n", client.answer().c_str());
+    show.say("It starts again and is asked again: what was answered is told again, what is in doubt is never run again.");
+    program.start().client();
+    program.counter_at("store_condition", 1);
+    show.ask("once", {5}, "booth-a", "a");
+    show.ask("once", {7}, "booth-s", "s");
+    show.say("$ pinedoor store list");
+    std::fputs(program.store("list").c_str(), stdout);
+    int most = 0;
+    for (auto& server : servers) {
+        for (const auto& [text, runs] : server.runs()) most = text == "read-a" ? most : std::max(most, runs);
+    }
+    std::printf("\nThe index servers ran no booth more than %d time.\n", most);
+    program.kill(SIGTERM);
+    return program.wait() == 0 && most == 1 ? 0 : 1;
+}
--- a/tests/store/crash_test.cpp
+++ b/tests/store/crash_test.cpp
@@ -3,77 +3,15 @@
 #include <doctest/doctest.h>
 
 #include <map>
-#include <mutex>
 
 #include "stand_ins.hpp"
+#include "stand_ins/counting.hpp"
 #include "stand_ins/postgres.hpp"
 
 namespace {
 
 using namespace pinedoor::test;
 
-// An index server that counts how often each query's text was run. By the text's last letter it answers 'a'
-// at once, fails 'f' after running it, and is full for 'u'; 's' is run and never answered.
-class Counting {
-public:
-    Counting() {
-        thread_ = std::thread([this] { run(); });
-    }
-    ~Counting() {
-        stop_ = true;
-        thread_.join();
-    }
-    pinedoor::net::Endpoint at() const { return listener_.at(); }
-    std::map<std::string, int> runs() {
-        const std::lock_guard lock(mutex_);
-        return runs_;
-    }
-
-private:
-    void run() {
-        std::vector<Peer> peers;
-        while (!stop_) {
-            std::vector<pollfd> polled{{listener_.fd(), POLLIN, 0}};
-            for (const auto& peer : peers) polled.push_back({peer.fd(), POLLIN, 0});
-            poll(polled.data(), polled.size(), 5);
-            for (std::size_t i = peers.size(); i-- > 0;) {
-                bool open = true;
-                if (polled[i + 1].revents != 0) open = serve(peers[i]);
-                while (open && peers[i].holds_more()) open = serve(peers[i]);
-                if (!open) peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i));
-            }
-            if (polled[0].revents != 0) peers.push_back(listener_.accept());
-        }
-    }
-    bool serve(Peer& peer) {
-        const auto frame = peer.frame();
-        if (frame == "nothing") return false;
-        if (frame[0] != 'S') return true;
-        std::istringstream parts(frame.substr(1));
-        std::string id, shard;
-        for (std::size_t size = 0; parts >> id >> shard >> size;) {
-            parts.ignore(1);
-            std::string text(size, '\0');
-            parts.read(text.data(), static_cast<std::streamsize>(size));
-            const char how = text.empty() ? 'a' : text.back();
-            if (how == 'u') {
-                peer.reply(id, "full");
-                continue;
-            }
-            const std::lock_guard lock(mutex_);
-            ++runs_[text];
-            if (how != 's') peer.reply(id, how == 'f' ? "failed" : "done", "of " + text);
-        }
-        return true;
-    }
-
-    Listener listener_;
-    std::atomic<bool> stop_ = false;
-    std::mutex mutex_;
-    std::map<std::string, int> runs_;
-    std::thread thread_;
-};
-
 std::string keyed(const std::string& key) { return "Idempotency-Key: \"" + key + "\"\r\n"; }
 
 const std::string kSqlite = "[store]\nkind = \"sqlite\"\nfolder = \"@/store\"\nlease_ms = 200\n";
