--- a/demo/main.cpp
+++ b/demo/main.cpp
@@ -1,6 +1,6 @@
-// Serves real multigets end to end on loopback: a front node with its store of record on, three stand-in index
-// servers, a discovery, and a client that prints what it asks and is told. In the middle the front node dies by
-// SIGKILL; then the client asks again, and the store tells what became of everything.
+// Serves real multigets end to end on loopback: a front node with its store of record on, three stand-in
+// index servers, a discovery, and a client that prints what it asks and is told. In the middle the front node
+// dies by SIGKILL; then the client asks again, and the store tells what became of everything.
 #include <cstdio>
 
 #include "stand_ins/counting.hpp"
@@ -36,7 +36,8 @@
     Program program(listed, discovery.at());
     program.with_settings("[store]\nkind = \"sqlite\"\nfolder = \"@/store\"\nlease_ms = 1000\n").start();
     Show show{program};
-    show.say("A front node, three index servers and a discovery are up. `again` may run twice, `once` must not.");
+    show.say(
+        "A front node, three index servers and a discovery are up. `again` may run twice, `once` must not.");
     program.client();
     if (program.counter_at("servers_known", 3) != 3 || program.counter_at("store_condition", 1) != 1) {
         std::fprintf(stderr, "demo: the front node did not come up\n%s", program.log().c_str());
@@ -46,7 +47,8 @@
     show.ask("once", {5}, "booth-a", "a");
     show.ask("once", {5}, "booth-a", "a");
     show.ask("once", {6}, "booth-f", "f");
-    show.say("The next one runs at its server, which says nothing; in the middle of it the front node is killed.");
+    show.say(
+        "The next one runs at its server, which says nothing; in the middle of it the front node is killed.");
     auto client = program.client();
     client.say(post("once", "demo-killed", asks({7}, "booth-s"), 4'000, "Idempotency-Key: \"s\"\r\n"));
     const auto ran = [&servers] {
@@ -56,8 +58,11 @@
     };
     for (int tries = 0; tries < 3'000 && !ran(); ++tries) usleep(1'000);
     program.kill(SIGKILL);
-    std::printf("  asks 1 shard,  once  booth-s   key s\n    -> %s (the connection is gone)\n", client.answer().c_str());
-    show.say("It starts again and is asked again: what was answered is told again, what is in doubt is never run again.");
+    std::printf("  asks 1 shard,  once  booth-s   key s\n    -> %s (the connection is gone)\n",
+                client.answer().c_str());
+    show.say(
+        "It starts again and is asked again: what was answered is told again, what is in doubt is never run "
+        "again.");
     program.start().client();
     program.counter_at("store_condition", 1);
     show.ask("once", {5}, "booth-a", "a");
--- a/src/service/asking.hpp
+++ b/src/service/asking.hpp
@@ -26,9 +26,16 @@
 };
 
 struct Ending {
-    // The last three come from the record alone: a multiget of the same key was answered, is under way, or asked
-    // for something else. Nothing was sent.
-    enum class Kind { kAnswered, kPushedBack, kFailed, kRecorded, kUnderWay, kOtherBody } kind = Kind::kFailed;
+    // The last three come from the record alone: a multiget of the same key was answered, is under way, or
+    // asked for something else. Nothing was sent.
+    enum class Kind {
+        kAnswered,
+        kPushedBack,
+        kFailed,
+        kRecorded,
+        kUnderWay,
+        kOtherBody
+    } kind = Kind::kFailed;
     bool whole = false;
     Time wait = 0;                                    // advice with a pushback or kUnderWay; 0: none
     std::vector<std::pair<int, std::string>> values;  // shard and value of each part that is in
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -59,8 +59,8 @@
                        std::function<std::string()> print_counters)
     : scheduler_(scheduler), asker_(asker), counters_(counters), log_(log), at_(listen),
       op_types_(std::move(op_types)), tenants_(std::move(tenants)), shards_(shards), patience_(patience),
-      grace_(grace), most_connections_(most_connections),
-      takes_keys_(takes_keys), print_counters_(std::move(print_counters)) {}
+      grace_(grace), most_connections_(most_connections), takes_keys_(takes_keys),
+      print_counters_(std::move(print_counters)) {}
 
 void ClientSide::start() {
     listener_ = net::listen_on(at_);
@@ -385,8 +385,7 @@
 
 ClientSide::Reply ClientSide::reply_to(const Ending& ending) {
     switch (ending.kind) {
-        case Ending::Kind::kPushedBack:
-            return {503, retry_after(ending.wait), ""};
+        case Ending::Kind::kPushedBack: return {503, retry_after(ending.wait), ""};
         case Ending::Kind::kFailed:
             return {500, ending.told.empty() ? "" : "Content-Type: text/plain\r\n", line(ending.told)};
         case Ending::Kind::kRecorded:
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -12,17 +12,17 @@
 
 #include "net/stream.hpp"
 #include "parse/http.hpp"
-#include "service/counters.hpp"
 #include "service/asking.hpp"
+#include "service/counters.hpp"
 #include "service/log.hpp"
 
 namespace pinedoor::service {
 
 class ClientSide {
 public:
-    ClientSide(net::Scheduler& scheduler, Asker& asker, Counters& counters, Log& log,
-               net::Endpoint listen, std::vector<std::string> op_types, std::vector<std::string> tenants,
-               int shards, Time patience, Time grace, std::size_t most_connections, bool takes_keys,
+    ClientSide(net::Scheduler& scheduler, Asker& asker, Counters& counters, Log& log, net::Endpoint listen,
+               std::vector<std::string> op_types, std::vector<std::string> tenants, int shards, Time patience,
+               Time grace, std::size_t most_connections, bool takes_keys,
                std::function<std::string()> print_counters);
 
     void start();
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -41,7 +41,8 @@
 
 FrontDoor::FrontDoor(net::Scheduler& scheduler, const stated::Launch& launch,
                      const stated::Installation& installation, std::FILE* log, LogTerms log_terms)
-    : scheduler_(scheduler), launch_(launch), log_(log, scheduler, counters_, log_terms), descriptors_(launch.sockets()),
+    : scheduler_(scheduler), launch_(launch), log_(log, scheduler, counters_, log_terms),
+      descriptors_(launch.sockets()),
       exchange_(scheduler, make_node(launch.seed(), launch.settings()), launch.settings().node_place().turn,
                 launch.settings().most_open(), launch.settings().send_terms().most_sends, counters_, log_),
       keeper_(make_keeper(installation)),
@@ -81,17 +82,22 @@
     if (installation.store.kind == store::Kind::kNone) return nullptr;
     const auto& settings = launch_.settings();
     const auto terms = settings.client_terms();
-    store::Recorded recorded{launch_.name(), settings.op_type_names(), settings.tenant_names(), {}, {},
+    store::Recorded recorded{launch_.name(),
+                             settings.op_type_names(),
+                             settings.tenant_names(),
+                             {},
+                             {},
                              terms.retry_after ? terms.longest_retry_after : 0};
-    for (const auto& type : settings.op_types()) recorded.retriable.push_back(type.repeat == Repeat::kRetriable);
+    for (const auto& type : settings.op_types())
+        recorded.retriable.push_back(type.repeat == Repeat::kRetriable);
     try {
         recorded.recorded = store::which(recorded.op_types, recorded.retriable, installation.store.op_types);
     } catch (const std::invalid_argument& error) {
         throw stated::BadStated(error.what());
     }
-    return std::make_unique<store::Keeper>(scheduler_, exchange_, log_, installation.store, std::move(recorded),
-                                           launch_.seed(), store::make_backend(scheduler_, installation.store),
-                                           std::make_unique<store::RealFiles>());
+    return std::make_unique<store::Keeper>(
+        scheduler_, exchange_, log_, installation.store, std::move(recorded), launch_.seed(),
+        store::make_backend(scheduler_, installation.store), std::make_unique<store::RealFiles>());
 }
 
 Asker& FrontDoor::asker() {
@@ -113,7 +119,8 @@
         const auto fault = take_file();
         readings_ = fault.empty() ? 0 : readings_ - 1;
         counters_.add(fault.empty() ? Count::kReloads : Count::kReloadFaults);
-        if (!fault.empty() && fault != told) log_.event(Level::kWarning, "reload_refused", "reload: " + fault + "; all stays as it was");
+        if (!fault.empty() && fault != told)
+            log_.event(Level::kWarning, "reload_refused", "reload: " + fault + "; all stays as it was");
         told = fault;
     }
 }
--- a/src/service/front_door.hpp
+++ b/src/service/front_door.hpp
@@ -22,8 +22,8 @@
 
 class FrontDoor {
 public:
-    FrontDoor(net::Scheduler& scheduler, const stated::Launch& launch, const stated::Installation& installation,
-              std::FILE* log, LogTerms log_terms = {});
+    FrontDoor(net::Scheduler& scheduler, const stated::Launch& launch,
+              const stated::Installation& installation, std::FILE* log, LogTerms log_terms = {});
 
     void start();   // listens; throws if it cannot
     void stop();    // finishes what was taken
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -23,7 +23,8 @@
       zones_(std::move(zones)) {}
 
 void ListWatch::take_known(const parse::Json& known) {
-    if (!take_list(known, true)) log_.event(Level::kWarning, "known_list_refused", "the known list cannot be used");
+    if (!take_list(known, true))
+        log_.event(Level::kWarning, "known_list_refused", "the known list cannot be used");
 }
 
 void ListWatch::watch() {
@@ -125,8 +126,10 @@
         }
         counters_.add(Count::kListEntriesRefused);
         const auto* id = json.member("id");
-        log_.event(Level::kWarning, "list_entry_refused", "list entry refused: " +
-                  (id != nullptr && id->string() != nullptr ? id->string()->substr(0, 80) : "without id"));
+        log_.event(
+            Level::kWarning, "list_entry_refused",
+            "list entry refused: " +
+                (id != nullptr && id->string() != nullptr ? id->string()->substr(0, 80) : "without id"));
     }
     revision_ = revision->number()->text;
     const auto kind = *complete->boolean() ? ListKind::kFull : ListKind::kChanges;
--- a/src/service/log.cpp
+++ b/src/service/log.cpp
@@ -120,8 +120,7 @@
 void Log::write(Level level, std::string_view event, std::string_view text,
                 std::initializer_list<Field> fields) {
     const auto now = scheduler_.now();
-    const auto time =
-        std::to_string(now / kSecond) + '.' + std::to_string(kSecond + now % kSecond).substr(1);
+    const auto time = std::to_string(now / kSecond) + '.' + std::to_string(kSecond + now % kSecond).substr(1);
     std::string line;
     if (terms_.format == LogFormat::kJson) {
         line = "{\"time\":" + time;
--- a/src/stated/installation.cpp
+++ b/src/stated/installation.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t kMb = std::size_t{1} << 20U;
 constexpr std::size_t kKb = std::size_t{1} << 10U;
 
-store::Time time(TomlTable& table, const std::string& key, store::Time otherwise, double least_ms, double most_ms) {
+store::Time time(TomlTable& table, const std::string& key, store::Time otherwise, double least_ms,
+                 double most_ms) {
     return static_cast<store::Time>(
         table.number(key, static_cast<double>(otherwise) / 10, least_ms, most_ms) * 10);
 }
@@ -47,7 +48,8 @@
     terms.postgres.conninfo = table.text("conninfo", "");
     if (terms.kind == store::Kind::kPostgres && terms.postgres.conninfo.empty())
         table.reject("conninfo", "is missing; write where the database is, as libpq takes it");
-    terms.postgres.connect_timeout = time(table, "connect_timeout_ms", terms.postgres.connect_timeout, 1, 600'000);
+    terms.postgres.connect_timeout =
+        time(table, "connect_timeout_ms", terms.postgres.connect_timeout, 1, 600'000);
     terms.postgres.statement_timeout =
         time(table, "statement_timeout_ms", terms.postgres.statement_timeout, 1, 600'000);
     table.finish();
@@ -82,13 +84,7 @@
 }  // namespace
 
 Installation Installation::from_text(std::string_view text, const std::string& path) {
-    toml::table parsed;
-    try {
-        parsed = toml::parse(text, path);
-    } catch (const toml::parse_error& error) {
-        std::string why(error.description());
-        throw BadStated(path + ':' + std::to_string(error.source().begin.line) + ": no TOML: " + why);
-    }
+    const auto parsed = parse_toml(text, path);
     Installation installation;
     TomlTable table(parsed, "", path);
     auto log = table.table("log");
--- a/src/stated/installation.hpp
+++ b/src/stated/installation.hpp
@@ -1,5 +1,5 @@
-// What an installation states for pinedoor alone, as TOML (deploy/pinedoor.toml lists every key). The platform's
-// own configuration stays JSON (launch.hpp). Without a file all of it is off.
+// What an installation states for pinedoor alone, as TOML (deploy/pinedoor.toml lists every key). The
+// platform's own configuration stays JSON (launch.hpp). Without a file all of it is off.
 #pragma once
 
 #include <string>
--- a/src/stated/toml_table.cpp
+++ b/src/stated/toml_table.cpp
@@ -34,6 +34,15 @@
 
 }  // namespace
 
+toml::table parse_toml(std::string_view text, const std::string& path) {
+    try {
+        return toml::parse(text, path);
+    } catch (const toml::parse_error& error) {
+        std::string why(error.description());
+        throw BadStated(path + ':' + std::to_string(error.source().begin.line) + ": no TOML: " + why);
+    }
+}
+
 const toml::node* TomlTable::find(const std::string& key) {
     known_.insert(key);
     return table_.get(key);
@@ -102,6 +111,26 @@
     return node->as_boolean()->get();
 }
 
+std::vector<double> TomlTable::numbers(const std::string& key) {
+    std::vector<double> out;
+    const auto* node = find(key);
+    if (node == nullptr || !node->is_array()) return out;
+    for (const auto& each : *node->as_array()) {
+        if (!each.is_number()) reject(key, "holds something that is no number");
+        out.push_back(each.value<double>().value_or(0));
+    }
+    return out;
+}
+
+std::vector<TomlTable> TomlTable::tables(const std::string& key) {
+    std::vector<TomlTable> out;
+    const auto* node = find(key);
+    if (node == nullptr) return out;
+    if (!node->is_array_of_tables()) reject(key, "is no list of tables; write [[" + path_ + key + "]]");
+    for (const auto& each : *node->as_array()) out.emplace_back(*each.as_table(), path_ + key + '.', file_);
+    return out;
+}
+
 TomlTable TomlTable::table(const std::string& key) {
     const auto* node = find(key);
     if (node != nullptr && !node->is_table()) reject(key, "is no table; write [" + path_ + key + "]");
@@ -113,9 +142,9 @@
         const std::string name(key.str());
         if (known_.contains(name)) continue;
         std::string why = "is unknown";
-        const auto nearest = std::min_element(known_.begin(), known_.end(), [&](const auto& a, const auto& b) {
-            return distance(a, name) < distance(b, name);
-        });
+        const auto nearest = std::min_element(
+            known_.begin(), known_.end(),
+            [&](const auto& a, const auto& b) { return distance(a, name) < distance(b, name); });
         if (nearest != known_.end()) why += "; did you mean " + path_ + *nearest + '?';
         reject(name, why);
     }
--- a/src/stated/toml_table.hpp
+++ b/src/stated/toml_table.hpp
@@ -2,16 +2,19 @@
 // finish(), which refuses all others with the nearest known one.
 #pragma once
 
+#include <toml++/toml.h>
+
 #include <set>
 #include <string>
 #include <string_view>
-#include <toml++/toml.h>
 #include <vector>
 
 #include "stated/stated.hpp"
 
 namespace pinedoor::stated {
 
+toml::table parse_toml(std::string_view text, const std::string& path);  // throws BadStated
+
 class TomlTable {
 public:
     TomlTable(const toml::table& table, std::string path, std::string file)
@@ -24,7 +27,13 @@
     std::int64_t whole(const std::string& key, std::int64_t otherwise, std::int64_t least, std::int64_t most);
     std::vector<std::string> texts(const std::string& key);
     bool flag(const std::string& key, bool otherwise);
-    TomlTable table(const std::string& key);  // empty if it is not there
+    std::vector<double> numbers(const std::string& key);    // empty if it is no list
+    TomlTable table(const std::string& key);                // empty if it is not there
+    std::vector<TomlTable> tables(const std::string& key);  // of [[key]]
+    bool holds_table(const std::string& key) const {
+        return table_.get(key) != nullptr && table_.get(key)->is_table();
+    }
+    void forget(const std::string& key) { known_.insert(key); }  // it is known, and not asked for
 
     bool has(const std::string& key) const { return table_.contains(key); }
     void finish() const;  // throws BadStated for a key that nobody asked for
--- a/src/store/asked_again.cpp
+++ b/src/store/asked_again.cpp
@@ -40,9 +40,8 @@
 
 bool frees_key(Fate fate, const PartFates& parts, bool retriable) {
     if (fate != Fate::kRefused) return false;
-    return retriable || std::all_of(parts.begin(), parts.end(), [](const auto& part) {
-               return part.second == PartFate::kNeverSent;
-           });
+    return retriable || std::all_of(parts.begin(), parts.end(),
+                                    [](const auto& part) { return part.second == PartFate::kNeverSent; });
 }
 
 std::vector<bool> which(const std::vector<std::string>& op_types, const std::vector<bool>& retriable,
@@ -51,7 +50,8 @@
     for (std::size_t i = 0; i < op_types.size(); ++i) recorded[i] = named.empty() && !retriable[i];
     for (const auto& name : named) {
         const auto at = std::find(op_types.begin(), op_types.end(), name);
-        if (at == op_types.end()) throw std::invalid_argument("store.op_types: '" + name + "' is no op type here");
+        if (at == op_types.end())
+            throw std::invalid_argument("store.op_types: '" + name + "' is no op type here");
         recorded[static_cast<std::size_t>(at - op_types.begin())] = true;
     }
     return recorded;
--- a/src/store/asked_again.hpp
+++ b/src/store/asked_again.hpp
@@ -1,9 +1,10 @@
 // What a client is told whose key somebody else holds, and when a key is free again. Decisions only.
 //
-// The header is `Idempotency-Key` as in the IETF draft of that name (draft-ietf-httpapi-idempotency-key-header):
-// its value is a structured header string (section 2.1; RFC 8941, 3.3.3), of 1 to 255 characters; the same key
-// with another body is 422, a key whose first request is under way is 409 (section 2.7). Keys belong to a
-// tenant. The fingerprint (section 2.4) is of the op type and the body's bytes.
+// The header is `Idempotency-Key` as in the IETF draft of that name
+// (draft-ietf-httpapi-idempotency-key-header): its value is a structured header string (section 2.1; RFC
+// 8941, 3.3.3), of 1 to 255 characters; the same key with another body is 422, a key whose first request is
+// under way is 409 (section 2.7). Keys belong to a tenant. The fingerprint (section 2.4) is of the op type
+// and the body's bytes.
 #pragma once
 
 #include <cstdint>
--- a/src/store/backend.hpp
+++ b/src/store/backend.hpp
@@ -24,8 +24,8 @@
     enum class End { kStored, kRefused, kEntriesAtFault, kUnsure };
     struct Written {
         End end = End::kRefused;
-        std::vector<Claim> claims;   // kStored: one for each entry
-        std::vector<bool> present;   // after settle()
+        std::vector<Claim> claims;  // kStored: one for each entry
+        std::vector<bool> present;  // after settle()
         std::string why;
     };
 
@@ -35,7 +35,8 @@
     virtual void write(Entries entries, std::function<void(Written)> done) = 0;
     virtual void settle(Entries entries, std::function<void(Written)> done) = 0;
     // Says that this process is alive and deletes what is old (0: nothing); its failure is found by others.
-    virtual void tend(Time delete_before, std::size_t most, std::function<void(std::size_t deleted)> done) = 0;
+    virtual void tend(Time delete_before, std::size_t most,
+                      std::function<void(std::size_t deleted)> done) = 0;
     // Says that this process ends in order; done() is called within the time, whatever comes of it.
     virtual void leave(Time within, std::function<void()> done) = 0;
     // Told when an open store goes away while nothing is asked of it.
--- a/src/store/catalog.cpp
+++ b/src/store/catalog.cpp
@@ -73,17 +73,19 @@
                  " AND r.number = " + add(static_cast<std::int64_t>(filter.id->number));
     }
     if (filter.after_asked >= 0) {
-        where += " AND (coalesce(r.asked, 0), r.node, r.incarnation, r.number) > (" + add(filter.after_asked) + ", " +
-                 add(filter.after.node) + ", " + add(static_cast<std::int64_t>(filter.after.incarnation)) + ", " +
+        where += " AND (coalesce(r.asked, 0), r.node, r.incarnation, r.number) > (" +
+                 add(filter.after_asked) + ", " + add(filter.after.node) + ", " +
+                 add(static_cast<std::int64_t>(filter.after.incarnation)) + ", " +
                  add(static_cast<std::int64_t>(filter.after.number)) + ')';
     }
-    const auto rows = db.run(
-        "SELECT r.node, r.incarnation, r.number, r.fate, CASE WHEN " + alive_term("r", "$3") +
-            " THEN 1 ELSE 0 END, r.op_type, r.tenant, r.client, r.ikey, r.asked, r.not_after, r.parts, r.ended, "
-            "r.part_fates, r.note, r.answer FROM records r WHERE " +
-            where + " ORDER BY coalesce(r.asked, 0), r.node, r.incarnation, r.number LIMIT " +
-            add(static_cast<std::int64_t>(filter.most)),
-        values);
+    const auto rows =
+        db.run("SELECT r.node, r.incarnation, r.number, r.fate, CASE WHEN " + alive_term("r", "$3") +
+                   " THEN 1 ELSE 0 END, r.op_type, r.tenant, r.client, r.ikey, r.asked, r.not_after, "
+                   "r.parts, r.ended, "
+                   "r.part_fates, r.note, r.answer FROM records r WHERE " +
+                   where + " ORDER BY coalesce(r.asked, 0), r.node, r.incarnation, r.number LIMIT " +
+                   add(static_cast<std::int64_t>(filter.most)),
+               values);
     std::vector<Record> records;
     for (const auto& row : rows) {
         Record record;
@@ -128,13 +130,15 @@
     values.emplace_back(static_cast<std::int64_t>(became));
     values.emplace_back(who);
     values.emplace_back(why);
-    db.run("INSERT INTO history(node, incarnation, number, at, who, why, was, became) "
-           "VALUES ($1, $2, $3, pinedoor_now(), $5, $6, 0, $4)",
-           values);
+    db.run(
+        "INSERT INTO history(node, incarnation, number, at, who, why, was, became) "
+        "VALUES ($1, $2, $3, pinedoor_now(), $5, $6, 0, $4)",
+        values);
     // ended stays null: so it is told from an outcome that the node recorded.
-    db.run("UPDATE records SET fate = $4, note = $5 WHERE node = $1 AND incarnation = $2 AND number = $3 AND "
-           "fate IS NULL",
-           {values[0], values[1], values[2], values[3], "settled by " + who + ": " + why});
+    db.run(
+        "UPDATE records SET fate = $4, note = $5 WHERE node = $1 AND incarnation = $2 AND number = $3 AND "
+        "fate IS NULL",
+        {values[0], values[1], values[2], values[3], "settled by " + who + ": " + why});
     db.run("UPDATE claims SET state = $4 WHERE node = $1 AND incarnation = $2 AND number = $3",
            {values[0], values[1], values[2], std::int64_t{became == Fate::kRefused ? 1 : 2}});
     transaction.commit();
@@ -145,10 +149,11 @@
     Summary found;
     found.schema = schema_version(db);
     for (const auto fate : kFates) {
-        found.by_state.emplace_back(name_of(fate), number_of(db.run("SELECT count(*) FROM records WHERE fate = $1",
-                                                                    {static_cast<std::int64_t>(fate)})
-                                                                 .at(0)
-                                                                 .at(0)));
+        found.by_state.emplace_back(name_of(fate),
+                                    number_of(db.run("SELECT count(*) FROM records WHERE fate = $1",
+                                                     {static_cast<std::int64_t>(fate)})
+                                                  .at(0)
+                                                  .at(0)));
     }
     for (const bool alive : {true, false}) {
         found.by_state.emplace_back(
@@ -159,11 +164,12 @@
                           .at(0)
                           .at(0)));
     }
-    for (const auto& row :
-         db.run("SELECT node, incarnation, started, seen, ended, CASE WHEN ended IS NULL AND seen > pinedoor_now() "
-                "- $1 THEN 1 ELSE 0 END FROM incarnations i WHERE NOT EXISTS (SELECT 1 FROM incarnations j WHERE "
-                "j.node = i.node AND j.incarnation > i.incarnation) ORDER BY node",
-                {lease})) {
+    for (const auto& row : db.run("SELECT node, incarnation, started, seen, ended, CASE WHEN ended IS NULL "
+                                  "AND seen > pinedoor_now() "
+                                  "- $1 THEN 1 ELSE 0 END FROM incarnations i WHERE NOT EXISTS (SELECT 1 "
+                                  "FROM incarnations j WHERE "
+                                  "j.node = i.node AND j.incarnation > i.incarnation) ORDER BY node",
+                                  {lease})) {
         found.processes.push_back({text_of(row.at(0)), number_of(row.at(1)), number_of(row.at(2)),
                                    number_of(row.at(3)), number_of(row.at(4)), number_of(row.at(5)) != 0});
     }
@@ -176,11 +182,13 @@
         const char* query;
     };
     constexpr std::array<Check, 3> kChecks{{
-        {"keys whose record is not there", "SELECT count(*) FROM claims c WHERE c.state <> 1 AND NOT EXISTS (SELECT 1 "
-                                           "FROM records r WHERE r.node = c.node AND r.incarnation = c.incarnation "
-                                           "AND r.number = c.number)"},
+        {"keys whose record is not there",
+         "SELECT count(*) FROM claims c WHERE c.state <> 1 AND NOT EXISTS (SELECT 1 "
+         "FROM records r WHERE r.node = c.node AND r.incarnation = c.incarnation "
+         "AND r.number = c.number)"},
         {"keys that are open though their record has an outcome",
-         "SELECT count(*) FROM claims c JOIN records r ON r.node = c.node AND r.incarnation = c.incarnation AND "
+         "SELECT count(*) FROM claims c JOIN records r ON r.node = c.node AND r.incarnation = c.incarnation "
+         "AND "
          "r.number = c.number WHERE c.state = 0 AND r.fate IS NOT NULL"},
         {"records with a fate that is none", "SELECT count(*) FROM records WHERE fate < 1 OR fate > 4"},
     }};
--- a/src/store/catalog.hpp
+++ b/src/store/catalog.hpp
@@ -39,7 +39,7 @@
     RecordId after;
 };
 
-std::string print_id(const RecordId& id);                      // NODE/INCARNATION/NUMBER
+std::string print_id(const RecordId& id);  // NODE/INCARNATION/NUMBER
 std::optional<RecordId> read_id(const std::string& text);
 bool is_state(const std::string& text);
 std::vector<Record> list(SqlDb& db, const Filter& filter, Time lease);  // by time asked, oldest first
--- a/src/store/crash_point.hpp
+++ b/src/store/crash_point.hpp
@@ -1,5 +1,5 @@
-// Named places where a test lets the process die by SIGKILL: PINEDOOR_CRASH_AT=NAME or NAME:N for the N-th time
-// that it is come by. Only in builds for tests; elsewhere it is nothing.
+// Named places where a test lets the process die by SIGKILL: PINEDOOR_CRASH_AT=NAME or NAME:N for the N-th
+// time that it is come by. Only in builds for tests; elsewhere it is nothing.
 #pragma once
 
 #ifdef PINEDOOR_CRASH_POINTS
--- a/src/store/decide.cpp
+++ b/src/store/decide.cpp
@@ -262,7 +262,8 @@
 // Nearly caught up counts: what comes now waits for the last replay instead of keeping it going for ever.
 bool Recorder::direct() const {
     return condition_ == Condition::kUp && unsettled_.empty() &&
-           spill_entries_ + for_spill_.size() + (spilling_ ? spilling_->second.size() : 0) <= terms_.most_batch;
+           spill_entries_ + for_spill_.size() + (spilling_ ? spilling_->second.size() : 0) <=
+               terms_.most_batch;
 }
 
 std::size_t Recorder::spill_room() const {
@@ -275,7 +276,8 @@
     if (held.keyed || direct()) return queue_for_store(at);
     const bool intent = ref.half == Half::kIntent;
     const auto needed = held.bytes + (intent ? terms_.outcome_room : 0);
-    const bool fits = intent ? needed <= spill_room() : spill_bytes_ + spill_pending_ + needed <= terms_.spill_bytes;
+    const bool fits =
+        intent ? needed <= spill_room() : spill_bytes_ + spill_pending_ + needed <= terms_.spill_bytes;
     if (fits && spill_usable()) return queue_for_spill(at);
     // With the spill full or failing the store alone is left, if it takes anything.
     if (condition_ == Condition::kUp || !intent) return queue_for_store(at);
@@ -346,7 +348,8 @@
 
 // When the store is tried next, or a slow one may have caught up.
 Time Recorder::advice() const {
-    return std::max(terms_.reopen_from, condition_ == Condition::kDown ? reopen_at_ - now_ : terms_.slow_after);
+    return std::max(terms_.reopen_from,
+                    condition_ == Condition::kDown ? reopen_at_ - now_ : terms_.slow_after);
 }
 
 void Recorder::turn_keyed_away() {
@@ -382,7 +385,8 @@
     const auto step = std::min(failures_ - 1, 20);
     const auto wait = failures_ == 0 ? 0 : std::min(terms_.reopen_to, terms_.reopen_from << step);
     ++failures_;
-    const double spread = 0.5 + 0.5 * (static_cast<double>(chance_()) / static_cast<double>(std::mt19937::max()));
+    const double spread =
+        0.5 + 0.5 * (static_cast<double>(chance_()) / static_cast<double>(std::mt19937::max()));
     reopen_at_ = now_ + static_cast<Time>(spread * static_cast<double>(wait));
     go(Condition::kDown);
     spill_what_waits();
@@ -412,7 +416,8 @@
         actions_.emplace_back(Settle{begin(Out::Kind::kSettle, unsettled_), unsettled_});
     } else if (spill_entries_ > 0) {
         // First of all: an outcome in the spill may be that of a key which is asked for now.
-        actions_.emplace_back(Replay{begin(Out::Kind::kReplay, {}), replay_singly_ > 0 ? 1 : terms_.most_batch});
+        actions_.emplace_back(
+            Replay{begin(Out::Kind::kReplay, {}), replay_singly_ > 0 ? 1 : terms_.most_batch});
     } else if (auto refs = gather_for_store(); !refs.empty()) {
         for (const auto& ref : refs) {
             auto& held = entries_.at(ref);
--- a/src/store/decide.hpp
+++ b/src/store/decide.hpp
@@ -17,8 +17,8 @@
 // without the store: only the store knows who else holds it.
 //
 // One write is out to the store at a time and one to the spill, with all that gathered meanwhile: groups grow
-// as the store gets slower. A write whose end is not known is settled by asking for its entries by name before
-// any other write; what is not there is written again, under the same name.
+// as the store gets slower. A write whose end is not known is settled by asking for its entries by name
+// before any other write; what is not there is written again, under the same name.
 #pragma once
 
 #include <cstddef>
@@ -43,11 +43,12 @@
     Time gather = 0;                  // a write is held back for so long after its first entry
     Time slow_after = 500;            // a write that is out for longer makes the store count as slow
     double intent_share = 0.5;        // of the time that a client has left, for its intent to become durable
-    double answer_share = 0.25;       // likewise for the outcome of an answer, before the answer goes out anyway
-    Time reopen_from = 500;           // between two tries to open, doubling up to reopen_to, each times 0.5 to 1
+    double answer_share = 0.25;  // likewise for the outcome of an answer, before the answer goes out anyway
+    Time reopen_from = 500;      // between two tries to open, doubling up to reopen_to, each times 0.5 to 1
     Time reopen_to = 50'000;
-    std::size_t spill_bytes = std::size_t{64} << 20U;  // on disk, with room kept for the outcomes of what is open
-    std::size_t outcome_room = 1024;                   // kept in the spill for each open multiget's outcome
+    std::size_t spill_bytes = std::size_t{64}
+                              << 20U;  // on disk, with room kept for the outcomes of what is open
+    std::size_t outcome_room = 1024;   // kept in the spill for each open multiget's outcome
 };
 
 using Number = std::uint64_t;  // a record's, within the incarnation
@@ -96,8 +97,8 @@
     std::size_t bytes = 0;
 };
 struct Tick {};
-using Event = std::variant<Wanted, Over, Opened, OpenFailed, Lost, Stored, Refused, Unsure, Spilled, SpillHolds,
-                           Tick>;
+using Event =
+    std::variant<Wanted, Over, Opened, OpenFailed, Lost, Stored, Refused, Unsure, Spilled, SpillHolds, Tick>;
 
 // What is done about it.
 struct Open {};
@@ -113,7 +114,7 @@
     Batch batch = 0;
     std::size_t most = 0;
 };
-struct Skip {};  // the store will not have the spill's next entry: it is set aside, kept for a person
+struct Skip {};    // the store will not have the spill's next entry: it is set aside, kept for a person
 struct SpillOut {  // append to the spill and make it durable
     Batch batch = 0;
     std::vector<Ref> refs;
@@ -148,12 +149,13 @@
 struct Now {  // the condition has changed
     Condition condition = Condition::kOpening;
 };
-using Action = std::variant<Open, Write, Settle, Replay, Skip, SpillOut, Proceed, TurnAway, Release, DropAnswer, Forget,
-                            Wake, Now>;
+using Action = std::variant<Open, Write, Settle, Replay, Skip, SpillOut, Proceed, TurnAway, Release,
+                            DropAnswer, Forget, Wake, Now>;
 
 class Recorder {
 public:
-    Recorder(std::uint64_t seed, WriteTerms terms) : terms_(terms), chance_(static_cast<std::mt19937::result_type>(seed)) {}
+    Recorder(std::uint64_t seed, WriteTerms terms)
+        : terms_(terms), chance_(static_cast<std::mt19937::result_type>(seed)) {}
 
     std::vector<Action> start(Time now);
     std::vector<Action> take(Time now, const Event& event);
@@ -226,7 +228,7 @@
     Condition condition_ = Condition::kOpening;
     bool opening_ = false;  // an Open is out
     Time reopen_at_ = 0;
-    int failures_ = 0;  // of opening or writing, since the last write that ended well
+    int failures_ = 0;             // of opening or writing, since the last write that ended well
     std::map<Ref, Held> entries_;  // not durable yet
     std::set<std::pair<Time, Ref>> waits_;
     std::set<Number> open_;  // intents that are durable, without an outcome: each has room kept in the spill
--- a/src/store/files.hpp
+++ b/src/store/files.hpp
@@ -23,7 +23,8 @@
 class Files {
 public:
     virtual ~Files() = default;
-    virtual std::unique_ptr<File> open(const std::string& path) = 0;  // made if it is not there; null: it cannot be
+    virtual std::unique_ptr<File> open(
+        const std::string& path) = 0;  // made if it is not there; null: it cannot be
     virtual std::optional<std::vector<std::string>> list(const std::string& folder) = 0;  // sorted names
     virtual bool remove(const std::string& path) = 0;
     virtual bool rename(const std::string& from, const std::string& to) = 0;
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -36,9 +36,9 @@
 Keeper::Keeper(net::Scheduler& scheduler, service::Asker& inner, service::Log& log, StoreTerms terms,
                Recorded recorded, std::uint64_t seed, std::unique_ptr<Backend> backend,
                std::unique_ptr<Files> files)
-    : scheduler_(scheduler), inner_(inner), log_(log), terms_(std::move(terms)), recorded_(std::move(recorded)),
-      files_(std::move(files)), recorder_(seed, terms_.write), birth_(new_birth()),
-      spill_(std::make_shared<Spill>(*files_, terms_.folder, terms_.spill_file_bytes)),
+    : scheduler_(scheduler), inner_(inner), log_(log), terms_(std::move(terms)),
+      recorded_(std::move(recorded)), files_(std::move(files)), recorder_(seed, terms_.write),
+      birth_(new_birth()), spill_(std::make_shared<Spill>(*files_, terms_.folder, terms_.spill_file_bytes)),
       backend_(std::move(backend)), spill_thread_(scheduler, kMostSpillJobs), waiter_(scheduler) {}
 
 // --- Start and end ---
@@ -158,9 +158,11 @@
 
 // --- Clients ---
 
-std::pair<Asked, service::Ticket> Keeper::ask(service::MultigetAsked asked, std::function<void(Ending)> ended) {
+std::pair<Asked, service::Ticket> Keeper::ask(service::MultigetAsked asked,
+                                              std::function<void(Ending)> ended) {
     const auto op_type = static_cast<std::size_t>(asked.op_type);
-    if (!recorded_.recorded[op_type] && asked.key.empty()) return inner_.ask(std::move(asked), std::move(ended));
+    if (!recorded_.recorded[op_type] && asked.key.empty())
+        return inner_.ask(std::move(asked), std::move(ended));
     if (const auto could = inner_.could_take(asked.name); could != Asked::kTaken) return {could, 0};
     if (waiting_names_.contains(asked.name)) return {Asked::kNameInUse, 0};
     const auto number = ++last_number_;
@@ -218,8 +220,8 @@
         return record(gone, Fate::kRefused, {}, "client left before any send", {}, false);
     }
     const auto number = proceed.number;
-    const auto [taken, ticket] =
-        inner_.ask(std::move(kept.asked), [this, number](Ending ending) { ended(number, std::move(ending)); });
+    const auto [taken, ticket] = inner_.ask(
+        std::move(kept.asked), [this, number](Ending ending) { ended(number, std::move(ending)); });
     crash_points_.pass("handed_over");
     if (taken == Asked::kTaken) {
         if (const auto still = kept_.find(number); still != kept_.end() && still->second.proceeded)
@@ -261,15 +263,9 @@
 void Keeper::record(const Kept& kept, Fate fate, const PartFates& parts, std::string note, std::string answer,
                     bool answered) {
     const auto& intent = kept.intent;
-    Outcome outcome{intent.id,
-                    intent.tenant,
-                    intent.key,
-                    fate,
-                    frees_key(fate, parts, kept.retriable),
-                    scheduler_.now(),
-                    print_parts(parts),
-                    std::move(note),
-                    {}};
+    Outcome outcome{
+        intent.id,        intent.tenant,      intent.key,      fate, frees_key(fate, parts, kept.retriable),
+        scheduler_.now(), print_parts(parts), std::move(note), {}};
     const auto bare = frame(encode(outcome)).size();
     outcome.answer = std::move(answer);
     const auto bytes = bare + outcome.answer.size();
@@ -400,9 +396,8 @@
     ++counted_.writes;
     counted_.entries_written += write.refs.size();
     crash_points_.pass("before_write");
-    backend_->write(entries_of(write.refs), [this, batch = write.batch, refs = write.refs](Backend::Written end) {
-        written(batch, refs, end);
-    });
+    backend_->write(entries_of(write.refs), [this, batch = write.batch, refs = write.refs](
+                                                Backend::Written end) { written(batch, refs, end); });
 }
 
 void Keeper::carry_out(const Settle& settle) {
@@ -471,7 +466,8 @@
              [this, good, batch = spill.batch] {
                  if (!*good) {
                      ++counted_.spill_failures;
-                     log_.event(Level::kError, "spill_failed", "the spill cannot be written in " + terms_.folder);
+                     log_.event(Level::kError, "spill_failed",
+                                "the spill cannot be written in " + terms_.folder);
                  }
                  happened(Spilled{batch, *good});
              });
@@ -481,10 +477,12 @@
     auto entries = std::make_shared<Entries>();
     on_spill(
         [entries, most = replay.most](Spill& spill) {
-            for (auto& entry : spill.next(most)) entries->push_back(std::make_shared<const Entry>(std::move(entry)));
+            for (auto& entry : spill.next(most))
+                entries->push_back(std::make_shared<const Entry>(std::move(entry)));
         },
         [this, entries, batch = replay.batch] {
-            if (entries->empty()) return end_like(batch, {Backend::End::kRefused, {}, {}, "the spill cannot be read"});
+            if (entries->empty())
+                return end_like(batch, {Backend::End::kRefused, {}, {}, "the spill cannot be read"});
             backend_->write(*entries, [this, batch, count = entries->size()](Backend::Written end) {
                 spill_replayed(batch, count, end);
             });
@@ -494,13 +492,17 @@
 void Keeper::spill_replayed(Batch batch, std::size_t count, const Backend::Written& written) {
     if (written.end != Backend::End::kStored) return end_like(batch, written);
     counted_.replayed += count;
-    on_spill([count](Spill& spill) { spill.done(count); }, [this, batch] { happened(Stored{batch, {}, {}}); });
+    on_spill([count](Spill& spill) { spill.done(count); },
+             [this, batch] {
+                 happened(Stored{batch, {}, {}});
+             });
 }
 
 void Keeper::carry_out(const Skip&) {
     ++counted_.set_aside;
-    log_.event(Level::kError, "entry_set_aside",
-               "the store refuses an entry of the spill; it is kept in " + terms_.folder + "/refused.journal");
+    log_.event(
+        Level::kError, "entry_set_aside",
+        "the store refuses an entry of the spill; it is kept in " + terms_.folder + "/refused.journal");
     on_spill([](Spill& spill) { spill.set_aside_first(); }, [] {});
 }
 
@@ -522,12 +524,15 @@
 
 void Keeper::carry_out(const Now& now) {
     log_.event(now.condition == Condition::kUp ? Level::kInfo : Level::kWarning, "store_condition",
-               "the store is " + std::string(name_of(now.condition)), {{"spill", std::to_string(spill_holds_.entries)}});
+               "the store is " + std::string(name_of(now.condition)),
+               {{"spill", std::to_string(spill_holds_.entries)}});
 }
 
 std::string Keeper::print_gauges() const {
     std::string out;
-    const auto add = [&out](std::string_view name, std::uint64_t value) { service::append_line(out, name, value); };
+    const auto add = [&out](std::string_view name, std::uint64_t value) {
+        service::append_line(out, name, value);
+    };
     add("store_condition", static_cast<std::uint64_t>(recorder_.condition()));
     add("store_incarnation", incarnation_);
     add("store_opened", counted_.opened);
--- a/src/store/keeper.hpp
+++ b/src/store/keeper.hpp
@@ -1,7 +1,7 @@
 // The record's carrier: stands between the client sides and the exchange. A multiget that is recorded goes on
-// to the exchange once its intent is durable, and its answer to the client once its outcome is, or its share of
-// the time is over; all others pass through untouched. It carries out what the Recorder decides, on a store and
-// a spill, and tells it how each went.
+// to the exchange once its intent is durable, and its answer to the client once its outcome is, or its share
+// of the time is over; all others pass through untouched. It carries out what the Recorder decides, on a
+// store and a spill, and tells it how each went.
 #pragma once
 
 #include <cstdint>
@@ -46,8 +46,9 @@
 
 class Keeper : public service::Asker {
 public:
-    Keeper(net::Scheduler& scheduler, service::Asker& inner, service::Log& log, StoreTerms terms, Recorded recorded,
-           std::uint64_t seed, std::unique_ptr<Backend> backend, std::unique_ptr<Files> files);
+    Keeper(net::Scheduler& scheduler, service::Asker& inner, service::Log& log, StoreTerms terms,
+           Recorded recorded, std::uint64_t seed, std::unique_ptr<Backend> backend,
+           std::unique_ptr<Files> files);
 
     void start();  // recovers the spill and takes its incarnation; throws Unusable
     // Once no client is left: waits a moment for what is not durable, then leaves the store.
--- a/src/store/pg_backend.cpp
+++ b/src/store/pg_backend.cpp
@@ -45,8 +45,9 @@
     }
     pq.free_conninfo(options);
     if (address.empty() && !is_numeric(host)) {
-        throw SqlError(SqlError::Kind::kStore, "store.postgres.conninfo: host '" + host +
-                                                   "' is a name, whose look-up would stop the front node; add hostaddr");
+        throw SqlError(SqlError::Kind::kStore,
+                       "store.postgres.conninfo: host '" + host +
+                           "' is a name, whose look-up would stop the front node; add hostaddr");
     }
 }
 
@@ -77,7 +78,9 @@
     // it is absent is found by asking.
     for (auto& request : std::exchange(requests_, {})) {
         if (!request.done) continue;
-        scheduler_.defer([done = std::move(request.done)] { done({Answer::End::kLost, {}, "the connection was lost", {}}); });
+        scheduler_.defer([done = std::move(request.done)] {
+            done({Answer::End::kLost, {}, "the connection was lost", {}});
+        });
     }
 }
 
@@ -117,7 +120,9 @@
     }
     if (polling != PGRES_POLLING_OK) {
         if (fault.empty()) fault = why();
-        scheduler_.defer([done = std::exchange(connected_, nullptr), fault] { done({false, false, 0, fault}); });
+        scheduler_.defer([done = std::exchange(connected_, nullptr), fault] {
+            done({false, false, 0, fault});
+        });
         drop();
         co_return;
     }
@@ -189,10 +194,12 @@
         if (name.empty()) {
             if (prepared_.size() > kMostPrepared) return "too many statements";  // they are few and fixed
             name = "s" + std::to_string(++last_name_);
-            if (pq_.send_prepare(connection, name.c_str(), text, given.count(), given.types()) == 0) return why();
+            if (pq_.send_prepare(connection, name.c_str(), text, given.count(), given.types()) == 0)
+                return why();
             awaited_.push_back(false);
         }
-        if (pq_.send_prepared(connection, name.c_str(), given.count(), given.values(), nullptr, nullptr, 0) == 0)
+        if (pq_.send_prepared(connection, name.c_str(), given.count(), given.values(), nullptr, nullptr, 0) ==
+            0)
             return why();
         awaited_.push_back(!request.transaction || (i > 0 && i + 1 < statements.size()));
     }
@@ -232,7 +239,10 @@
 void PgBackend::ask(std::vector<Statement> statements, bool transaction, std::function<void(Answer)> done) {
     if (!up_ || requests_.size() >= kMostRequests) {
         scheduler_.defer([done = std::move(done), up = up_] {
-            done({Answer::End::kError, SqlError::Kind::kStore, up ? "too much is asked" : "the store is not open", {}});
+            done({Answer::End::kError,
+                  SqlError::Kind::kStore,
+                  up ? "too much is asked" : "the store is not open",
+                  {}});
         });
         return;
     }
@@ -268,7 +278,9 @@
 }
 
 void PgBackend::enroll_now(Registration registration, std::function<void(Enrolled)> done) {
-    const auto tell = [this, done](Enrolled enrolled) { scheduler_.defer([done, enrolled] { done(enrolled); }); };
+    const auto tell = [this, done](Enrolled enrolled) {
+        scheduler_.defer([done, enrolled] { done(enrolled); });
+    };
     ask(enroll_look(registration), false, [this, registration, tell](const Answer& seen) mutable {
         if (seen.end != Answer::End::kGood) return tell({false, false, 0, seen.why});
         try {
@@ -294,8 +306,8 @@
 Backend::Written PgBackend::written_from(const Answer& answer) {
     Written written;
     written.why = answer.why;
-    written.end = answer.end == Answer::End::kGood   ? End::kStored
-                  : answer.end == Answer::End::kLost ? End::kUnsure
+    written.end = answer.end == Answer::End::kGood          ? End::kStored
+                  : answer.end == Answer::End::kLost        ? End::kUnsure
                   : answer.kind == SqlError::Kind::kEntries ? End::kEntriesAtFault
                                                             : End::kRefused;
     return written;
@@ -312,12 +324,13 @@
         statements.push_back(see_claim(std::get<Intent>(*entry), lease_));
     }
     ask(std::move(statements), true,
-        [this, entries = std::move(entries), claims = std::move(claims), done = std::move(done)](const Answer& answer) {
+        [this, entries = std::move(entries), claims = std::move(claims),
+         done = std::move(done)](const Answer& answer) {
             auto written = written_from(answer);
             for (std::size_t i = 0; i < entries.size() && written.end == End::kStored; ++i) {
-                written.claims.push_back(claims[i] == 0 ? Claim{}
-                                                        : claim_from(std::get<Intent>(*entries[i]),
-                                                                     answer.rows.at(claims[i])));
+                written.claims.push_back(
+                    claims[i] == 0 ? Claim{}
+                                   : claim_from(std::get<Intent>(*entries[i]), answer.rows.at(claims[i])));
             }
             // A transaction that failed stands open until it is rolled back; nothing of it is in.
             if (answer.end == Answer::End::kError) ask({{"ROLLBACK", {}}}, false, [](const Answer&) {});
@@ -345,7 +358,8 @@
                 Claim claim;
                 if (is_keyed_intent(*entries[i])) {
                     if (!written.present.back()) {
-                        claim = claim_from(std::get<Intent>(*entries[i]), answer.rows.at(at), answer.rows.at(at + 1));
+                        claim = claim_from(std::get<Intent>(*entries[i]), answer.rows.at(at),
+                                           answer.rows.at(at + 1));
                     }
                     at += 2;
                 }
--- a/src/store/pq.cpp
+++ b/src/store/pq.cpp
@@ -130,7 +130,8 @@
     const PqResult result(pq_, pq_.exec_params(connection_, statement.c_str(), given.count(), given.types(),
                                                given.values(), given.lengths(), nullptr, 0));
     const auto status = result.status();
-    if (status == PGRES_TUPLES_OK || status == PGRES_COMMAND_OK || status == PGRES_EMPTY_QUERY) return result.read();
+    if (status == PGRES_TUPLES_OK || status == PGRES_COMMAND_OK || status == PGRES_EMPTY_QUERY)
+        return result.read();
     if (pq_.status(connection_) != CONNECTION_OK) throw SqlError(Kind::kUnsure, "the connection was lost");
     throw SqlError(kind_of_state(result.state()), result.why());
 }
--- a/src/store/record.cpp
+++ b/src/store/record.cpp
@@ -13,7 +13,8 @@
 template <class Number>
 void put(std::string& out, Number number) {
     auto rest = static_cast<std::uint64_t>(number);
-    for (std::size_t i = 0; i < sizeof number; ++i, rest >>= 8U) out.push_back(static_cast<char>(rest & 0xffU));
+    for (std::size_t i = 0; i < sizeof number; ++i, rest >>= 8U)
+        out.push_back(static_cast<char>(rest & 0xffU));
 }
 
 void put(std::string& out, const std::string& text) {
@@ -35,7 +36,8 @@
     void get(Number& number) {
         std::uint64_t value = 0;
         if (!has(sizeof number)) return;
-        for (std::size_t i = sizeof number; i-- > 0;) value = value << 8U | static_cast<unsigned char>(rest_[i]);
+        for (std::size_t i = sizeof number; i-- > 0;)
+            value = value << 8U | static_cast<unsigned char>(rest_[i]);
         rest_.remove_prefix(sizeof number);
         number = static_cast<Number>(value);
     }
--- a/src/store/record.hpp
+++ b/src/store/record.hpp
@@ -5,7 +5,8 @@
 // least significant byte first, a text as its length in four bytes and then so many bytes:
 //   intent   'I', node, incarnation u64, number u64, op type, tenant, client, key, fingerprint, asked i64,
 //            not_after i64, parts u32
-//   outcome  'O', node, incarnation u64, number u64, tenant, key, fate u8, frees_key u8, ended i64, parts (text), note, answer
+//   outcome  'O', node, incarnation u64, number u64, tenant, key, fate u8, frees_key u8, ended i64, parts
+//   (text), note, answer
 #pragma once
 
 #include <cstdint>
@@ -22,8 +23,9 @@
 
 struct RecordId {
     std::string node;
-    std::uint64_t incarnation = 0;  // of the node's process, rising by one with each start, whatever its clock says
-    std::uint64_t number = 0;       // within the incarnation, from 1
+    std::uint64_t incarnation =
+        0;  // of the node's process, rising by one with each start, whatever its clock says
+    std::uint64_t number = 0;  // within the incarnation, from 1
     bool operator==(const RecordId&) const = default;
 };
 
@@ -83,7 +85,7 @@
     RecordId id;
     std::string fingerprint;
     std::optional<Fate> fate;  // none: no outcome is recorded
-    bool alive = false;        // its process is known to run: without an outcome it is under way, else in doubt
+    bool alive = false;  // its process is known to run: without an outcome it is under way, else in doubt
     std::string answer;
     std::string note;
 };
--- a/src/store/spill.cpp
+++ b/src/store/spill.cpp
@@ -130,8 +130,8 @@
     for (const auto& payload : payloads) bytes += frame(payload);
     auto& segment = segments_.back();
     if (!last_->append(bytes) || !last_->sync()) {
-        // What of it is there after a crash is read back then, which is harmless; in this process it counts as
-        // not written. An fsync that failed once says nothing when it succeeds later: the file is left.
+        // What of it is there after a crash is read back then, which is harmless; in this process it counts
+        // as not written. An fsync that failed once says nothing when it succeeds later: the file is left.
         last_->cut(segment.bytes);
         last_.reset();
         return false;
@@ -180,7 +180,8 @@
         if (first.corrupt)
             files_.rename(path(first.name), path(first.name + ".corrupt"));
         else
-            files_.remove(path(first.name));  // if that fails, its entries are written once more after a restart
+            files_.remove(
+                path(first.name));  // if that fails, its entries are written once more after a restart
         bytes_ -= first.bytes;
         loaded_.clear();
         is_loaded_ = false;
--- a/src/store/spill.hpp
+++ b/src/store/spill.hpp
@@ -2,14 +2,15 @@
 // read back in their order and leave it once the store has them.
 //
 // A folder of files `spill-NNNNNNNN.journal`, numbered upwards. Each is 16 bytes of head, "PDSPILL" and the
-// format's version (1), then eight bytes of 0, and then entries: a length in four bytes and the XXH3-64 of the
-// length's bytes and the payload in eight (both least significant byte first), then the payload (record.hpp).
-// An append is a group of entries in one write and one fsync. Progress is not written: a file is removed once
-// all of it is in the store, and what was written from a file that is still there is written again, by name.
+// format's version (1), then eight bytes of 0, and then entries: a length in four bytes and the XXH3-64 of
+// the length's bytes and the payload in eight (both least significant byte first), then the payload
+// (record.hpp). An append is a group of entries in one write and one fsync. Progress is not written: a file
+// is removed once all of it is in the store, and what was written from a file that is still there is written
+// again, by name.
 //
-// After a crash the end of a file may be torn: from the first bytes on that begin no further whole entry it is
-// cut. Bytes that are no entry with whole ones after them are corrupt: they are counted and stepped over, and
-// the file is kept under `.corrupt` when its entries are in the store.
+// After a crash the end of a file may be torn: from the first bytes on that begin no further whole entry it
+// is cut. Bytes that are no entry with whole ones after them are corrupt: they are counted and stepped over,
+// and the file is kept under `.corrupt` when its entries are in the store.
 #pragma once
 
 #include <cstddef>
--- a/src/store/sql.cpp
+++ b/src/store/sql.cpp
@@ -14,7 +14,8 @@
             "started bigint NOT NULL, seen bigint NOT NULL, ended bigint, PRIMARY KEY (node, incarnation))",
             // asked is null until the intent is in, fate until the outcome is.
             "CREATE TABLE records(node text NOT NULL, incarnation bigint NOT NULL, number bigint NOT NULL, "
-            "op_type text, tenant text, client text, ikey text, asked bigint, not_after bigint, parts bigint, "
+            "op_type text, tenant text, client text, ikey text, asked bigint, not_after bigint, parts "
+            "bigint, "
             "fate bigint, ended bigint, part_fates text, note text, answer text, "
             "PRIMARY KEY (node, incarnation, number))",
             // state: 0 open or in doubt, 1 free to be claimed again, 2 over
@@ -71,7 +72,8 @@
     "number = $5";
 
 constexpr const char* kSeeSchema = "SELECT schema_version FROM pinedoor_meta";
-constexpr const char* kPostgresHasTables = "SELECT CASE WHEN to_regclass('pinedoor_meta') IS NULL THEN 0 ELSE 1 END";
+constexpr const char* kPostgresHasTables =
+    "SELECT CASE WHEN to_regclass('pinedoor_meta') IS NULL THEN 0 ELSE 1 END";
 
 Value number(std::uint64_t value) { return static_cast<std::int64_t>(value); }
 
@@ -112,8 +114,9 @@
         throw SqlError(Kind::kSchema, "the store's schema is " + theirs + ", this program's is " + ours +
                                           "; run `pinedoor store migrate`");
     }
-    throw SqlError(Kind::kSchema, "the store's schema is " + theirs + ", newer than this program's, which is " +
-                                      ours + "; run a newer pinedoor");
+    throw SqlError(Kind::kSchema, "the store's schema is " + theirs +
+                                      ", newer than this program's, which is " + ours +
+                                      "; run a newer pinedoor");
 }
 
 std::vector<int> migrate(SqlDb& db) {
@@ -122,8 +125,9 @@
         if (version > kSchemaVersion) check_schema(version);  // throws
         Transaction transaction(db);
         if (version == 0 && db.kind() == "postgres") {
-            db.run("CREATE OR REPLACE FUNCTION pinedoor_now() RETURNS bigint LANGUAGE sql AS "
-                   "'SELECT (extract(epoch from clock_timestamp()) * 10000)::bigint'");
+            db.run(
+                "CREATE OR REPLACE FUNCTION pinedoor_now() RETURNS bigint LANGUAGE sql AS "
+                "'SELECT (extract(epoch from clock_timestamp()) * 10000)::bigint'");
         }
         for (const char* statement : migrations().at(static_cast<std::size_t>(version))) db.run(statement);
         db.run("UPDATE pinedoor_meta SET schema_version = $1", {std::int64_t{version + 1}});
@@ -147,20 +151,22 @@
     if (registration.incarnation != 0 && (births.empty() || text_of(births[0].at(0)) == registration.birth))
         return registration.incarnation;
     if (registration.incarnation != 0 && !registration.may_change) {
-        throw SqlError(Kind::kStore, "incarnation " + std::to_string(registration.incarnation) + " of node '" +
-                                         registration.node +
-                                         "' is another process's: two nodes share a name, or a folder was copied");
+        throw SqlError(Kind::kStore,
+                       "incarnation " + std::to_string(registration.incarnation) + " of node '" +
+                           registration.node +
+                           "' is another process's: two nodes share a name, or a folder was copied");
     }
     return highest + 1;
 }
 
 std::vector<Statement> enroll_write(const Registration& registration) {
-    return {{"INSERT INTO incarnations(node, incarnation, birth, started, seen) "
-             "VALUES ($1, $2, $3, pinedoor_now(), pinedoor_now()) ON CONFLICT (node, incarnation) DO UPDATE SET "
-             "seen = pinedoor_now() WHERE incarnations.birth = excluded.birth",
-             {registration.node, number(registration.incarnation), registration.birth}},
-            {"SELECT birth FROM incarnations WHERE node = $1 AND incarnation = $2",
-             {registration.node, number(registration.incarnation)}}};
+    return {
+        {"INSERT INTO incarnations(node, incarnation, birth, started, seen) "
+         "VALUES ($1, $2, $3, pinedoor_now(), pinedoor_now()) ON CONFLICT (node, incarnation) DO UPDATE SET "
+         "seen = pinedoor_now() WHERE incarnations.birth = excluded.birth",
+         {registration.node, number(registration.incarnation), registration.birth}},
+        {"SELECT birth FROM incarnations WHERE node = $1 AND incarnation = $2",
+         {registration.node, number(registration.incarnation)}}};
 }
 
 void enroll_check(const Registration& registration, const std::vector<Row>& seen) {
@@ -181,19 +187,22 @@
 }
 
 Statement alive(const Registration& registration) {
-    return {"UPDATE incarnations SET seen = pinedoor_now() WHERE node = $1 AND incarnation = $2 AND birth = $3",
-            {registration.node, number(registration.incarnation), registration.birth}};
+    return {
+        "UPDATE incarnations SET seen = pinedoor_now() WHERE node = $1 AND incarnation = $2 AND birth = $3",
+        {registration.node, number(registration.incarnation), registration.birth}};
 }
 
 Statement ended(const Registration& registration) {
-    return {"UPDATE incarnations SET seen = pinedoor_now(), ended = pinedoor_now() "
-            "WHERE node = $1 AND incarnation = $2 AND birth = $3",
-            {registration.node, number(registration.incarnation), registration.birth}};
+    return {
+        "UPDATE incarnations SET seen = pinedoor_now(), ended = pinedoor_now() "
+        "WHERE node = $1 AND incarnation = $2 AND birth = $3",
+        {registration.node, number(registration.incarnation), registration.birth}};
 }
 
 std::string alive_term(const std::string& record, const std::string& lease) {
-    return "EXISTS (SELECT 1 FROM incarnations i WHERE i.node = " + record + ".node AND i.incarnation = " +
-           record + ".incarnation AND i.ended IS NULL AND i.seen > pinedoor_now() - " + lease +
+    return "EXISTS (SELECT 1 FROM incarnations i WHERE i.node = " + record +
+           ".node AND i.incarnation = " + record +
+           ".incarnation AND i.ended IS NULL AND i.seen > pinedoor_now() - " + lease +
            " AND NOT EXISTS (SELECT 1 FROM incarnations j WHERE j.node = i.node AND j.incarnation > "
            "i.incarnation))";
 }
@@ -210,22 +219,22 @@
                                   {intent->tenant, intent->key, intent->fingerprint, id.node,
                                    number(id.incarnation), number(id.number), intent->asked}});
         }
-        statements.push_back({keyed ? kKeyedIntent : kIntent,
-                              {id.node, number(id.incarnation), number(id.number), intent->op_type,
-                               intent->tenant, intent->client, intent->key, intent->asked, intent->not_after,
-                               std::int64_t{intent->parts}}});
+        statements.push_back(
+            {keyed ? kKeyedIntent : kIntent,
+             {id.node, number(id.incarnation), number(id.number), intent->op_type, intent->tenant,
+              intent->client, intent->key, intent->asked, intent->not_after, std::int64_t{intent->parts}}});
         return statements;
     }
     const auto& outcome = std::get<Outcome>(entry);
     const auto& id = outcome.id;
-    statements.push_back({kOutcome,
-                          {id.node, number(id.incarnation), number(id.number),
-                           static_cast<std::int64_t>(outcome.fate), outcome.ended, outcome.parts, outcome.note,
-                           outcome.answer}});
+    statements.push_back(
+        {kOutcome,
+         {id.node, number(id.incarnation), number(id.number), static_cast<std::int64_t>(outcome.fate),
+          outcome.ended, outcome.parts, outcome.note, outcome.answer}});
     if (!outcome.key.empty()) {
         statements.push_back({kEndClaim,
-                              {outcome.tenant, outcome.key, id.node, number(id.incarnation), number(id.number),
-                               std::int64_t{outcome.frees_key ? 1 : 2}}});
+                              {outcome.tenant, outcome.key, id.node, number(id.incarnation),
+                               number(id.number), std::int64_t{outcome.frees_key ? 1 : 2}}});
     }
     return statements;
 }
@@ -314,12 +323,13 @@
 
 std::vector<Statement> pruning(Time before, std::size_t most) {
     const auto limit = static_cast<std::int64_t>(most);
-    return {{"DELETE FROM claims WHERE (tenant, ikey) IN (SELECT tenant, ikey FROM claims WHERE asked < $1 AND "
-             "state <> 0 ORDER BY asked LIMIT $2)",
-             {before, limit}},
-            {"DELETE FROM records WHERE (node, incarnation, number) IN (SELECT node, incarnation, number FROM "
-             "records WHERE asked < $1 AND fate IS NOT NULL ORDER BY asked LIMIT $2) RETURNING number",
-             {before, limit}}};
+    return {
+        {"DELETE FROM claims WHERE (tenant, ikey) IN (SELECT tenant, ikey FROM claims WHERE asked < $1 AND "
+         "state <> 0 ORDER BY asked LIMIT $2)",
+         {before, limit}},
+        {"DELETE FROM records WHERE (node, incarnation, number) IN (SELECT node, incarnation, number FROM "
+         "records WHERE asked < $1 AND fate IS NOT NULL ORDER BY asked LIMIT $2) RETURNING number",
+         {before, limit}}};
 }
 
 std::size_t prune(SqlDb& db, Time before, std::size_t most) {
--- a/src/store/sql.hpp
+++ b/src/store/sql.hpp
@@ -61,10 +61,10 @@
 // --- Schema ---
 
 inline constexpr int kSchemaVersion = 2;
-int schema_version(SqlDb& db);               // 0: there is none
-void check_schema(int version);              // throws SqlError kSchema, which says what to do
+int schema_version(SqlDb& db);   // 0: there is none
+void check_schema(int version);  // throws SqlError kSchema, which says what to do
 inline void check_schema(SqlDb& db) { check_schema(schema_version(db)); }
-std::vector<int> migrate(SqlDb& db);         // forward to this program's; the versions gone through
+std::vector<int> migrate(SqlDb& db);  // forward to this program's; the versions gone through
 
 // --- What a front node writes ---
 
@@ -95,7 +95,8 @@
 Statement postgres_has_tables();  // one row: 1 or 0
 Statement see_schema();           // one row: the version
 
-// Those of an entry are to be run in order, in one transaction; its claim's end is what see_claim() then says.
+// Those of an entry are to be run in order, in one transaction; its claim's end is what see_claim() then
+// says.
 std::vector<Statement> writing(const Entry& entry);
 Statement see_claim(const Intent& intent, Time lease);
 Claim claim_from(const Intent& intent, const std::vector<Row>& rows);
@@ -103,14 +104,16 @@
 Claim claim_from(const Intent& intent, const std::vector<Row>& rows, const std::vector<Row>& states);
 Statement see_state(const Intent& intent);
 
-std::vector<Claim> write_entries(SqlDb& db, const std::vector<Entry>& entries, Time lease);  // one transaction
+std::vector<Claim> write_entries(SqlDb& db, const std::vector<Entry>& entries,
+                                 Time lease);  // one transaction
 struct Presence {
     std::vector<bool> present;
     std::vector<Claim> claims;
 };
 Presence find_entries(SqlDb& db, const std::vector<Entry>& entries, Time lease);
 
-// Deletes up to so many records with an outcome that were asked before; how many it were. Those in doubt stay.
+// Deletes up to so many records with an outcome that were asked before; how many it were. Those in doubt
+// stay.
 std::size_t prune(SqlDb& db, Time before, std::size_t most);
 
 // True where the record's process is known to run: it has not ended, was seen within the lease ($N), and no
--- a/src/store/sqlite_backend.cpp
+++ b/src/store/sqlite_backend.cpp
@@ -28,7 +28,8 @@
 void SqliteBackend::hand_over(Job job, std::function<void(Result)> done, Result if_full) {
     auto result = std::make_shared<Result>(std::move(if_full));
     const auto told = [result, done] { done(std::move(*result)); };
-    if (!worker_.submit([result, job, inside = inside_] { *result = job(*inside); }, told)) scheduler_.defer(told);
+    if (!worker_.submit([result, job, inside = inside_] { *result = job(*inside); }, told))
+        scheduler_.defer(told);
 }
 
 SqliteBackend::Enrolled SqliteBackend::Inside::open(Registration asked) {
@@ -71,8 +72,9 @@
 }
 
 void SqliteBackend::open(Registration registration, std::function<void(Enrolled)> done) {
-    hand_over<Enrolled>([registration = std::move(registration)](Inside& inside) { return inside.open(registration); },
-                        std::move(done), {false, false, 0, "the writer is busy"});
+    hand_over<Enrolled>(
+        [registration = std::move(registration)](Inside& inside) { return inside.open(registration); },
+        std::move(done), {false, false, 0, "the writer is busy"});
 }
 
 void SqliteBackend::write(Entries entries, std::function<void(Written)> done) {
--- a/src/store/sqlite_db.hpp
+++ b/src/store/sqlite_db.hpp
@@ -1,11 +1,12 @@
-// A SQLite file as a SqlDb: WAL and full sync, prepared statements. What it does blocks: only threads that may
-// wait on a disk use it (the writer's, the command line's).
+// A SQLite file as a SqlDb: WAL and full sync, prepared statements. What it does blocks: only threads that
+// may wait on a disk use it (the writer's, the command line's).
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "store/sql.hpp"
 
@@ -40,7 +41,12 @@
         void operator()(sqlite3_stmt* statement) const;
     };
     std::unique_ptr<sqlite3, CloseDb> db_;
-    std::map<std::string, std::unique_ptr<sqlite3_stmt, EndStatement>> prepared_;
+    struct Prepared {
+        std::unique_ptr<sqlite3_stmt, EndStatement> statement;
+        std::vector<int> places;  // of $1, $2 and so on; 0: it has no use for that one
+    };
+    Prepared& prepare(const std::string& text, std::size_t values);
+    std::unordered_map<std::string, Prepared> prepared_;
 };
 
 }  // namespace pinedoor::store
--- a/src/store/terms.hpp
+++ b/src/store/terms.hpp
@@ -26,8 +26,8 @@
 
 struct StoreTerms {
     Kind kind = Kind::kNone;
-    std::string folder;                 // of this node alone: its spill, its incarnation, its lock
-    std::string sqlite_file;            // empty: records.db in the folder
+    std::string folder;       // of this node alone: its spill, its incarnation, its lock
+    std::string sqlite_file;  // empty: records.db in the folder
     PostgresTerms postgres;
     std::vector<std::string> op_types;  // recorded; empty: all that are not retriable
     std::size_t largest_answer = 64 * 1024;
--- a/src/tool/command_line.cpp
+++ b/src/tool/command_line.cpp
@@ -45,15 +45,19 @@
         "understood; 3 the command found something amiss, or nothing to act on.");
     int code = kDone;
     ServeWords serve_words;
-    auto* served = app.add_subcommand("serve", "Serve as a front node until SIGTERM; what pinedoor alone does");
-    served->add_option("-s,--settings", serve_words.installation, "Our TOML; without it all that it turns on is off")
+    auto* served =
+        app.add_subcommand("serve", "Serve as a front node until SIGTERM; what pinedoor alone does");
+    served
+        ->add_option("-s,--settings", serve_words.installation,
+                     "Our TOML; without it all that it turns on is off")
         ->envname("PINEDOOR_SETTINGS");
     served->add_option("--log-format", serve_words.log_format, "pairs (key=value) or json")
         ->check(CLI::IsMember({"pairs", "json"}));
     served->add_option("--log-level", serve_words.log_level, "debug, info, warning or error")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
     std::string checked;
-    auto* check_command = app.add_subcommand("check", "Say whether a configuration can be used; exit 3 if not");
+    auto* check_command =
+        app.add_subcommand("check", "Say whether a configuration can be used; exit 3 if not");
     check_command->add_option("file", checked, "Our TOML (*.toml) or the platform's JSON")->required();
     add_store_commands(app, code);
     try {
--- a/src/tool/store_commands.cpp
+++ b/src/tool/store_commands.cpp
@@ -104,10 +104,10 @@
 }
 
 void print_row(const Record& record) {
-    std::printf("%-24s %-18s %-24s %-16s %-12s %s%s%s\n", print_time(record.asked).c_str(), record.state.c_str(),
-                print_id(record.id).c_str(), printable(record.op_type).c_str(), printable(record.tenant).c_str(),
-                printable(record.client).c_str(), record.note.empty() ? "" : "  ",
-                printable(record.note).c_str());
+    std::printf("%-24s %-18s %-24s %-16s %-12s %s%s%s\n", print_time(record.asked).c_str(),
+                record.state.c_str(), print_id(record.id).c_str(), printable(record.op_type).c_str(),
+                printable(record.tenant).c_str(), printable(record.client).c_str(),
+                record.note.empty() ? "" : "  ", printable(record.note).c_str());
 }
 
 // Calls `each` for every record that the filter takes, however many, page by page.
@@ -138,7 +138,8 @@
         group_->footer(
             "Examples:\n  pinedoor store -s deploy/pinedoor.toml list --state in-doubt --since 2h\n"
             "  pinedoor store --sqlite records.db show n3/17/204\n"
-            "  pinedoor store -s deploy/pinedoor.toml resolve n3/17/204 refused --who ann --why 'not on the books'");
+            "  pinedoor store -s deploy/pinedoor.toml resolve n3/17/204 refused --who ann --why 'not on the "
+            "books'");
         add_all();
     }
 
@@ -162,12 +163,14 @@
             terms_->postgres.conninfo = postgres_;
         }
         if (terms_->kind == store::Kind::kNone)
-            throw Unusable("no store is named; give --settings FILE with [store] kind, --sqlite or --postgres");
+            throw Unusable(
+                "no store is named; give --settings FILE with [store] kind, --sqlite or --postgres");
         return *terms_;
     }
 
     std::unique_ptr<SqlDb> open(bool must_fit = true) {
-        if (terms().kind == store::Kind::kSqlite && must_fit && !std::filesystem::exists(terms().sqlite_path()))
+        if (terms().kind == store::Kind::kSqlite && must_fit &&
+            !std::filesystem::exists(terms().sqlite_path()))
             throw Unusable("there is no '" + terms().sqlite_path() + "'; run `pinedoor store init`");
         auto db = store::open_db(terms());
         if (must_fit) check_schema(*db);
@@ -175,7 +178,8 @@
     }
 
     void add_filter(CLI::App* to) {
-        to->add_option("--state", state_, "answered, answered-in-part, refused, failed, in-doubt or under-way");
+        to->add_option("--state", state_,
+                       "answered, answered-in-part, refused, failed, in-doubt or under-way");
         to->add_option("--tenant", tenant_, "Of this tenant only");
         to->add_option("--client", filter_.client, "The client's own name of it (X-Txn)");
         to->add_option("--op-type", filter_.op_type, "Of this op type only");
@@ -188,8 +192,9 @@
     Filter filter() {
         auto filter = filter_;
         if (!state_.empty() && !store::is_state(state_)) {
-            throw Unusable("--state is '" + state_ +
-                           "'; it must be answered, answered-in-part, refused, failed, in-doubt or under-way");
+            throw Unusable(
+                "--state is '" + state_ +
+                "'; it must be answered, answered-in-part, refused, failed, in-doubt or under-way");
         }
         filter.state = state_;
         if (!tenant_.empty()) filter.tenant = tenant_;
@@ -199,32 +204,42 @@
     }
 
     void add_all() {
-        command("init", "Make the tables; a store that has them is left as it is", [this] { return migrate(true); });
-        command("migrate", "Bring an older store to this program's schema", [this] { return migrate(false); });
-        auto* show = command("show", "Show one record whole, or what the store holds", [this] { return this->show(); });
+        command("init", "Make the tables; a store that has them is left as it is",
+                [this] { return migrate(true); });
+        command("migrate", "Bring an older store to this program's schema",
+                [this] { return migrate(false); });
+        auto* show = command("show", "Show one record whole, or what the store holds",
+                             [this] { return this->show(); });
         show->add_option("record", record_, "NODE/INCARNATION/NUMBER, as `list` prints it");
         show->add_flag("--json", json_, "One JSON object");
         auto* list = command("list", "List records, oldest first", [this] { return this->list(); });
         add_filter(list);
         list->add_flag("--json", json_, "One JSON object a line");
-        auto* resolve = command("resolve", "Settle a record that is in doubt", [this] { return this->resolve(); });
+        auto* resolve =
+            command("resolve", "Settle a record that is in doubt", [this] { return this->resolve(); });
         resolve->add_option("record", record_, "NODE/INCARNATION/NUMBER")->required();
         resolve->add_option("fate", fate_, "answered, refused (its key is free again) or failed")->required();
         resolve->add_option("--who", who_, "Who settles it")->required();
         resolve->add_option("--why", why_, "What shows it")->required();
-        auto* exported = command("export", "Write records out, answers included", [this] { return export_all(); });
+        auto* exported =
+            command("export", "Write records out, answers included", [this] { return export_all(); });
         add_filter(exported);
         exported->add_option("--format", format_, "csv or jsonl")->check(CLI::IsMember({"csv", "jsonl"}));
-        auto* prune = command("prune", "Delete old records that have an outcome", [this] { return this->prune(); });
+        auto* prune =
+            command("prune", "Delete old records that have an outcome", [this] { return this->prune(); });
         prune->add_option("--before", until_, "Those asked before then: a time, or 30d ago")->required();
         prune->add_option("--step", step_, "So many in one transaction")->capture_default_str();
-        auto* backup = command("backup", "Copy a SQLite store while nodes write", [this] { return back_up(); });
+        auto* backup =
+            command("backup", "Copy a SQLite store while nodes write", [this] { return back_up(); });
         backup->add_option("file", path_, "The copy, which must not be there")->required();
-        auto* restore = command("restore", "Put a copy in place of a SQLite store", [this] { return this->restore(); });
+        auto* restore =
+            command("restore", "Put a copy in place of a SQLite store", [this] { return this->restore(); });
         restore->add_option("file", path_, "The copy")->required();
-        auto* verify = command("verify", "Look for what cannot be; exit 3 if there is any", [this] { return this->verify(); });
+        auto* verify = command("verify", "Look for what cannot be; exit 3 if there is any",
+                               [this] { return this->verify(); });
         verify->add_flag("--json", json_, "One JSON object");
-        auto* follow = command("follow", "Print records as they come and end", [this] { return this->follow(); });
+        auto* follow =
+            command("follow", "Print records as they come and end", [this] { return this->follow(); });
         follow->add_flag("--json", json_, "One JSON object a line");
         follow->add_option("--for", seconds_, "So many seconds; 0: until interrupted");
     }
@@ -263,8 +278,8 @@
                         printable(value.is_string() ? value.get<std::string>() : value.dump()).c_str());
         }
         for (const auto& each : history) {
-            std::printf("settled       %s by %s as %s: %s\n", print_time(each.at).c_str(), printable(each.who).c_str(),
-                        each.became.c_str(), printable(each.why).c_str());
+            std::printf("settled       %s by %s as %s: %s\n", print_time(each.at).c_str(),
+                        printable(each.who).c_str(), each.became.c_str(), printable(each.why).c_str());
         }
         return kDone;
     }
@@ -291,7 +306,10 @@
         for (const auto& each : found.processes) {
             std::printf("node %s, incarnation %lld, %s, last seen %s\n", printable(each.node).c_str(),
                         static_cast<long long>(each.incarnation),
-                        each.ended != 0 ? "ended" : each.alive ? "alive" : "gone", print_time(each.seen).c_str());
+                        each.ended != 0 ? "ended"
+                        : each.alive    ? "alive"
+                                        : "gone",
+                        print_time(each.seen).c_str());
         }
         return kDone;
     }
@@ -310,7 +328,8 @@
         const auto db = open();
         for_each(*db, chosen, terms().lease, [this](const Record& record) {
             if (json_)
-                std::cout << to_json(record, false).dump(-1, ' ', false, Json::error_handler_t::replace) << '\n';
+                std::cout << to_json(record, false).dump(-1, ' ', false, Json::error_handler_t::replace)
+                          << '\n';
             else
                 print_row(record);
             return true;
@@ -325,8 +344,12 @@
         if (!id) throw Unusable("'" + record_ + "' names no record; write NODE/INCARNATION/NUMBER");
         const auto db = open();
         switch (store::resolve(*db, *id, *fate, who_, why_, terms().lease)) {
-            case store::Resolved::kDone: std::printf("%s is %s\n", record_.c_str(), fate_.c_str()); return kDone;
-            case store::Resolved::kUnknown: std::fprintf(stderr, "pinedoor: there is no record %s\n", record_.c_str()); break;
+            case store::Resolved::kDone:
+                std::printf("%s is %s\n", record_.c_str(), fate_.c_str());
+                return kDone;
+            case store::Resolved::kUnknown:
+                std::fprintf(stderr, "pinedoor: there is no record %s\n", record_.c_str());
+                break;
             case store::Resolved::kNotInDoubt:
                 std::fprintf(stderr, "pinedoor: %s is not in doubt: see `store show`\n", record_.c_str());
                 break;
@@ -339,16 +362,18 @@
         if (chosen.most == Filter{}.most) chosen.most = SIZE_MAX;
         const auto db = open();
         const bool csv = format_ == "csv";
-        if (csv) std::cout << "record,state,op_type,tenant,client,key,asked,not_after,ended,parts,part_fates,note,answer\n";
+        if (csv)
+            std::cout << "record,state,op_type,tenant,client,key,asked,not_after,ended,parts,part_fates,note,"
+                         "answer\n";
         for_each(*db, chosen, terms().lease, [csv](const Record& r) {
             if (!csv) {
                 std::cout << to_json(r, true).dump(-1, ' ', false, Json::error_handler_t::replace) << '\n';
                 return true;
             }
             std::string line;
-            for (const auto& field :
-                 {print_id(r.id), r.state, r.op_type, r.tenant, r.client, r.key, print_time(r.asked),
-                  print_time(r.not_after), print_time(r.ended), std::to_string(r.parts), r.part_fates, r.note, r.answer}) {
+            for (const auto& field : {print_id(r.id), r.state, r.op_type, r.tenant, r.client, r.key,
+                                      print_time(r.asked), print_time(r.not_after), print_time(r.ended),
+                                      std::to_string(r.parts), r.part_fates, r.note, r.answer}) {
                 line += (line.empty() ? "" : ",") + csv_field(field);
             }
             std::cout << line << '\n';
@@ -372,20 +397,23 @@
     store::SqliteDb& sqlite(SqlDb& db) {
         auto* found = dynamic_cast<store::SqliteDb*>(&db);
         if (found == nullptr)
-            throw Unusable("this is a PostgreSQL store: its own tools copy it; `store export` writes the records out");
+            throw Unusable(
+                "this is a PostgreSQL store: its own tools copy it; `store export` writes the records out");
         return *found;
     }
 
     int back_up() {
         const auto db = open();
-        if (std::filesystem::exists(path_)) throw Unusable("'" + path_ + "' is there already; name another file");
+        if (std::filesystem::exists(path_))
+            throw Unusable("'" + path_ + "' is there already; name another file");
         sqlite(*db).back_up(path_);
         std::printf("%s\n", path_.c_str());
         return kDone;
     }
 
     int restore() {
-        if (terms().kind != store::Kind::kSqlite) throw Unusable("only a SQLite store is restored from a copy");
+        if (terms().kind != store::Kind::kSqlite)
+            throw Unusable("only a SQLite store is restored from a copy");
         const auto to = terms().sqlite_path();
         if (!std::filesystem::exists(path_)) throw Unusable("there is no '" + path_ + "'");
         store::SqliteDb copy(path_);
@@ -393,7 +421,8 @@
         if (const auto amiss = copy.check_integrity(); !amiss.empty())
             throw Unusable("'" + path_ + "' is damaged: " + amiss.front());
         if (std::filesystem::exists(to)) {
-            throw Unusable("'" + to + "' is there; stop the front node and move it away first, with its -wal and -shm");
+            throw Unusable("'" + to +
+                           "' is there; stop the front node and move it away first, with its -wal and -shm");
         }
         copy.back_up(to);
         std::printf("%s\n", to.c_str());
@@ -423,25 +452,29 @@
         for (;;) {
             Time oldest_open = read_time("0s");
             std::map<std::string, std::string> next;
-            for_each(*db, chosen, terms().lease, [&](const Record& record) {
-                const auto id = print_id(record.id);
-                const auto before = states.find(id);
-                if (before == states.end() || before->second != record.state) {
-                    if (json_)
-                        std::cout << to_json(record, false).dump(-1, ' ', false, Json::error_handler_t::replace) << '\n';
-                    else
-                        print_row(record);
-                }
-                if (record.state == store::kUnderWay) oldest_open = std::min(oldest_open, record.asked);
-                next[id] = record.state;
-                return true;
-            });
+            for_each(
+                *db, chosen, terms().lease, [&](const Record& record) {
+                    const auto id = print_id(record.id);
+                    const auto before = states.find(id);
+                    if (before == states.end() || before->second != record.state) {
+                        if (json_)
+                            std::cout
+                                << to_json(record, false).dump(-1, ' ', false, Json::error_handler_t::replace)
+                                << '\n';
+                        else
+                            print_row(record);
+                    }
+                    if (record.state == store::kUnderWay) oldest_open = std::min(oldest_open, record.asked);
+                    next[id] = record.state;
+                    return true;
+                });
             std::cout.flush();
             std::fflush(stdout);
             states = std::move(next);
             // Looks back a little: what was asked a moment ago may be written a moment from now.
             chosen.since = std::max(chosen.since, std::min(oldest_open, read_time("10s")));
-            if (seconds_ > 0 && std::chrono::steady_clock::now() - began >= std::chrono::duration<double>(seconds_))
+            if (seconds_ > 0 &&
+                std::chrono::steady_clock::now() - began >= std::chrono::duration<double>(seconds_))
                 return kDone;
             std::this_thread::sleep_for(std::chrono::milliseconds(200));
         }
@@ -449,7 +482,8 @@
 
     int& code_;
     CLI::App* group_ = nullptr;
-    std::string settings_, sqlite_, postgres_, state_, tenant_, since_, until_, record_, fate_, who_, why_, path_;
+    std::string settings_, sqlite_, postgres_, state_, tenant_, since_, until_, record_, fate_, who_, why_,
+        path_;
     std::string format_ = "jsonl";
     Filter filter_;
     std::size_t step_ = 500;
--- a/tests/stand_ins/postgres.hpp
+++ b/tests/stand_ins/postgres.hpp
@@ -31,10 +31,10 @@
     std::uint16_t port() const { return port_; }
 
     // Faults. A number: at so many more times that it comes to that, counting down, 0: never.
-    std::atomic<int> die_before_commit = 0;  // the connection breaks, nothing is in
-    std::atomic<int> die_after_commit = 0;   // it is in, and no word of it comes
-    std::atomic<int> die_in_the_middle = 0;  // at the n-th Execute message from now
-    std::atomic<int> fail_commit = 0;        // an error of the server's, nothing is in
+    std::atomic<int> die_before_commit = 0;   // the connection breaks, nothing is in
+    std::atomic<int> die_after_commit = 0;    // it is in, and no word of it comes
+    std::atomic<int> die_in_the_middle = 0;   // at the n-th Execute message from now
+    std::atomic<int> fail_commit = 0;         // an error of the server's, nothing is in
     std::atomic<bool> stall_commits = false;  // they wait, and go in when this ends
     std::atomic<bool> refuse = false;         // new connections are closed at once
     std::atomic<bool> slow_bytes = false;     // what it says comes byte by byte
--- a/tests/stand_ins/scratch.hpp
+++ b/tests/stand_ins/scratch.hpp
@@ -1,5 +1,5 @@
-// Where tests keep files that are synced: in memory where there is such a place, so that none waits for a disk
-// that other work keeps busy.
+// Where tests keep files that are synced: in memory where there is such a place, so that none waits for a
+// disk that other work keeps busy.
 #pragma once
 
 #include <filesystem>
