--- a/src/lab/simulation.hpp
+++ b/src/lab/simulation.hpp
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lab/policy.hpp"
 #include "lab/server_model.hpp"
 #include "lab/world.hpp"
 
@@ -32,7 +33,8 @@
 class Simulation {
 public:
     // `log` is given a line for each thing that happens, if it is there.
-    explicit Simulation(const World& world, std::function<void(const std::string&)> log = {});
+    explicit Simulation(const World& world, PolicyKind policy = PolicyKind::kPinedoor,
+                        std::function<void(const std::string&)> log = {});
     ~Simulation();
     Totals run();
 
@@ -103,6 +105,7 @@
     void say(const std::string& line);
 
     const World world_;
+    const PolicyKind policy_;
     const std::function<void(const std::string&)> log_;
     Chance chance_;
     Time now_ = 0;
--- a/src/store/decide.cpp
+++ b/src/store/decide.cpp
@@ -72,7 +72,7 @@
     }
     Held held;
     held.bytes = wanted.bytes;
-    held.keyed = wanted.keyed;
+    held.store_only = wanted.keyed || !named_;
     held.awaited = true;
     held.give_up = share_of(terms_.intent_share, now_, wanted.not_after);
     waits_.emplace(held.give_up, ref);
@@ -102,6 +102,7 @@
 void Recorder::on(const Opened&) {
     if (!can_happen(opening_)) return;
     opening_ = false;
+    named_ = true;
     go(Condition::kUp);
     if (!spill_fails_) return;
     // The spill cannot be written: what gathered for it goes to the store that is back.
@@ -118,7 +119,7 @@
     if (!can_happen(opening_)) return;
     opening_ = false;
     go_down();
-    turn_keyed_away();
+    turn_store_only_away();
 }
 
 void Recorder::on(const Lost&) {
@@ -209,7 +210,7 @@
     }
     ++failures_;  // it opens well and takes nothing: no second try at once
     go_down();
-    turn_keyed_away();
+    turn_store_only_away();
 }
 
 void Recorder::on(const Unsure& unsure) {
@@ -224,7 +225,7 @@
         }
         at->second.place = Place::kUnsettled;
         unsettled_.push_back(ref);
-        if (!at->second.keyed && at->second.spill == Spill::kNo) queue_for_spill(at);
+        if (!at->second.store_only && at->second.spill == Spill::kNo) queue_for_spill(at);
     }
     go_down();
 }
@@ -273,7 +274,7 @@
 
 void Recorder::place(At at) {
     const auto [ref, held] = *at;
-    if (held.keyed || direct()) return queue_for_store(at);
+    if (held.store_only || direct()) return queue_for_store(at);
     const bool intent = ref.half == Half::kIntent;
     const auto needed = held.bytes + (intent ? terms_.outcome_room : 0);
     const bool fits =
@@ -306,7 +307,7 @@
     if (out_) refs.insert(refs.end(), out_->refs.begin(), out_->refs.end());
     for (const auto& ref : refs) {
         const auto at = entries_.find(ref);
-        if (at == entries_.end() || at->second.keyed || at->second.spill != Spill::kNo) continue;
+        if (at == entries_.end() || at->second.store_only || at->second.spill != Spill::kNo) continue;
         if (ref.half == Half::kIntent && !at->second.awaited) continue;
         if (spill_bytes_ + spill_pending_ + at->second.bytes > terms_.spill_bytes) continue;
         if (at->second.place == Place::kQueued) at->second.place = Place::kNowhere;
@@ -352,10 +353,10 @@
                     condition_ == Condition::kDown ? reopen_at_ - now_ : terms_.slow_after);
 }
 
-void Recorder::turn_keyed_away() {
+void Recorder::turn_store_only_away() {
     std::vector<Ref> away;
     for (const auto& [ref, held] : entries_) {
-        if (held.keyed && held.awaited) away.push_back(ref);
+        if (held.store_only && held.awaited) away.push_back(ref);
     }
     for (const auto& ref : away) turn_away(ref.number, Why::kStoreAway);
 }
--- a/src/store/decide.hpp
+++ b/src/store/decide.hpp
@@ -157,6 +157,9 @@
     Recorder(std::uint64_t seed, WriteTerms terms)
         : terms_(terms), chance_(static_cast<std::mt19937::result_type>(seed)) {}
 
+    // Before start(): this process knows its incarnation, so what it spills can be named. Otherwise the store
+    // tells it, and until then every intent waits like one with a key.
+    void is_named() { named_ = true; }
     std::vector<Action> start(Time now);
     std::vector<Action> take(Time now, const Event& event);
 
@@ -170,7 +173,7 @@
     enum class Spill : std::uint8_t { kNo, kQueued, kInWrite };
     struct Held {
         std::size_t bytes = 0;
-        bool keyed = false;
+        bool store_only = false;  // an intent with a key, or of a process without a name: the spill is no help
         bool awaited = false;  // somebody waits for it to become durable
         bool touched = false;  // was part of a write to the store or the spill
         Time give_up = 0;      // when what waits for it goes on without
@@ -206,7 +209,7 @@
     void queue_for_spill(At at);
     void durable(Ref ref);
     void turn_away(Number number, Why why);
-    void turn_keyed_away();
+    void turn_store_only_away();
     Time advice() const;
     void end_write(const Out& out, const Stored& stored);
     void give_up_overdue();
@@ -226,6 +229,7 @@
     std::mt19937 chance_;
     Time now_ = 0;
     Condition condition_ = Condition::kOpening;
+    bool named_ = false;
     bool opening_ = false;  // an Open is out
     Time reopen_at_ = 0;
     int failures_ = 0;             // of opening or writing, since the last write that ended well
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -74,6 +74,7 @@
                        "/incarnation' holds no number; remove it, and the store will tell the next one");
     }
     incarnation_ = last + 1;
+    recorder_.is_named();
     if (!replace_file(*files_, terms_.folder, "incarnation", std::to_string(incarnation_) + '\n'))
         throw Unusable("store.folder: cannot write '" + terms_.folder + "/incarnation'");
 }
@@ -182,10 +183,6 @@
     kept.ended = std::move(ended);
     waiting_names_.insert(kept.asked.name);
     ++counted_.intents;
-    if (incarnation_ == 0) {  // it cannot be named yet
-        carry_out(TurnAway{number, Why::kStoreAway, false, terms_.write.reopen_from});
-        return {Asked::kTaken, kOwn | number};
-    }
     const auto entry = std::make_shared<const Entry>(kept.intent);
     entries_[{Ref::Half::kIntent, number}] = entry;
     crash_points_.pass("asked");
@@ -353,7 +350,7 @@
 // --- The store ---
 
 void Keeper::carry_out(const Open&) {
-    backend_->open({recorded_.node, incarnation_, birth_, last_number_ == 0 || incarnation_ == 0},
+    backend_->open({recorded_.node, incarnation_, birth_, !used_},
                    [this](Backend::Enrolled enrolled) { opened(enrolled); });
 }
 
@@ -366,6 +363,11 @@
         why_ = enrolled.why;
         return happened(OpenFailed{});
     }
+    if (enrolled.incarnation != incarnation_ && used_) {
+        // Entries went to the spill under the number that turns out to be another process's: the next try says so.
+        why_ = "the incarnation is another process's";
+        return happened(OpenFailed{});
+    }
     why_.clear();
     ++counted_.opened;
     tend_at_ = 0;
@@ -382,6 +384,11 @@
                      return happened(OpenFailed{});
                  }
                  incarnation_ = incarnation;
+                 for (auto& [number, kept] : kept_) {  // those that wait for their name
+                     if (kept.proceeded) continue;
+                     kept.intent.id.incarnation = incarnation;
+                     entries_[{Ref::Half::kIntent, number}] = std::make_shared<const Entry>(kept.intent);
+                 }
                  happened(Opened{});
              });
 }
@@ -394,6 +401,7 @@
 
 void Keeper::carry_out(const Write& write) {
     ++counted_.writes;
+    used_ = true;
     counted_.entries_written += write.refs.size();
     crash_points_.pass("before_write");
     backend_->write(entries_of(write.refs), [this, batch = write.batch, refs = write.refs](
@@ -460,6 +468,7 @@
 void Keeper::carry_out(const SpillOut& spill) {
     std::vector<std::string> payloads;
     for (const auto& ref : spill.refs) payloads.push_back(encode(*entries_.at(ref)));
+    used_ = true;
     counted_.spilled += payloads.size();
     auto good = std::make_shared<bool>(false);
     on_spill([good, payloads = std::move(payloads)](Spill& to) { *good = to.append(payloads); },
--- a/src/store/keeper.hpp
+++ b/src/store/keeper.hpp
@@ -118,6 +118,7 @@
 
     std::string birth_;
     std::uint64_t incarnation_ = 0;  // 0: the store has not told it yet
+    bool used_ = false;              // something is written under it
     Number last_number_ = 0;
     std::map<Number, Kept> kept_;
     std::set<std::string> waiting_names_;  // of those that are not with the exchange yet
--- a/tests/store/recorder_test.cpp
+++ b/tests/store/recorder_test.cpp
@@ -51,6 +51,7 @@
     Time now = 0;
     std::ostringstream trace;
     bool quiet = false;
+    bool named = true;
 
     void show(const std::vector<Action>& actions) {
         for (const auto& action : actions) {
@@ -64,6 +65,7 @@
     }
     Script& begin() {
         recorder.emplace(7, terms);
+        if (named) recorder->is_named();
         show(recorder->start(now));
         return *this;
     }
@@ -221,6 +223,29 @@
 )");
 }
 
+TEST_CASE("a process without a name spills nothing: what needs an intent waits for the store that names it") {
+    Script s;
+    s.named = false;
+    s.begin().want(1).want(2, false, 2'000).pass(1'000).take(Opened{}).stored(1);
+    Script t;
+    t.named = false;
+    t.begin().want(1).take(OpenFailed{}).want(2).take(OpenFailed{});
+    CHECK(s.done() == R"(
+0 open
+1000 turn away 2: store slow
+1000 store up
+1000 write #1 i1
+1000 proceed 1
+)");
+    CHECK(t.done() == R"(
+0 open
+0 store down
+0 turn away 1: store away
+0 open
+0 turn away 2: store away
+)");
+}
+
 TEST_CASE("a key that somebody else holds is not run; the multigets beside it are") {
     Script s;
     s.up().want(1, true).want(2, true).want(3).stored(1, {{Half::kIntent, 1}}).stored(2);
@@ -556,6 +581,7 @@
     "whatever store and spill do, who proceeds has an intent, all are told in time, no outcome is lost") {
     CHECK(rc::check([] {
         World world(*rc::gen::arbitrary<std::uint64_t>());
+        if (world.one_in(2)) world.recorder.is_named();
         world.act(world.recorder.start(0));
         for (int i = 0; i < 400; ++i) world.step();
         world.end_well();
@@ -581,6 +607,7 @@
     std::size_t seen = 0;
     for (const bool up : {true, false}) {
         World world(1);
+        if (up) world.recorder.is_named();
         world.act(world.recorder.start(0));
         if (up) world.happen(3);
         explore(world, 6, seen);
