--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <thread>
 
+#include "lab/checker.hpp"
 #include "lab/compare.hpp"
 #include "lab/simulation.hpp"
 #include "stated/stated.hpp"
@@ -23,7 +24,7 @@
     return *at;
 }
 
-int run(const World& world, PolicyKind policy, const std::string& log_path) {
+int run(const World& world, PolicyKind policy, const std::string& log_path, bool check) {
     std::ofstream log;
     if (!log_path.empty()) {
         log.open(log_path, std::ios::binary);
@@ -31,12 +32,19 @@
     }
     const auto began = std::chrono::steady_clock::now();
     std::function<void(const std::string&)> say;
-    if (log.is_open()) say = [&log](const std::string& line) { log << line << '\n'; };
+    RuleChecker checker;
+    if (log.is_open() || check) {
+        say = [&](const std::string& line) {
+            if (log.is_open()) log << line << '\n';
+            if (check) checker.take(line);
+        };
+    }
     Simulation simulation(world, policy, say);
     auto totals = simulation.run();
     const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     std::printf("%s, seed %llu, %s: service %.4f\n", world.name.c_str(),
-                static_cast<unsigned long long>(world.seed), std::string(name_of(policy)).c_str(), totals.service());
+                static_cast<unsigned long long>(world.seed), std::string(name_of(policy)).c_str(),
+                totals.service());
     std::printf("  %-16s %9s %9s %8s %8s %8s %8s %6s %8s %8s %8s\n", "clients", "asked", "whole", "in part",
                 "late", "pushed", "failed", "lost", "p50 ms", "p99 ms", "service");
     for (auto& each : totals.clients) {
@@ -54,7 +62,22 @@
                 static_cast<unsigned long long>(totals.run_twice),
                 static_cast<unsigned long long>(totals.events), took,
                 static_cast<double>(world.length) / 1e4 / took);
-    return totals.run_twice == 0 ? 0 : 3;
+    if (!check) return 0;
+    const auto found = checker.finish();
+    for (const auto& each : found) std::printf("  %s: %s\n", name_of(each.rule).c_str(), each.what.c_str());
+    if (found.empty()) std::printf("  no rule broken\n");
+    return found.empty() ? 0 : 3;
+}
+
+int judge(const std::string& path) {
+    std::ifstream log(path, std::ios::binary);
+    if (!log) throw pinedoor::stated::BadStated(path + ": cannot be read; name a log that exists");
+    RuleChecker checker;
+    for (std::string line; std::getline(log, line);) checker.take(line);
+    const auto found = checker.finish();
+    for (const auto& each : found) std::printf("%s: %s\n", name_of(each.rule).c_str(), each.what.c_str());
+    if (found.empty()) std::printf("no rule broken\n");
+    return found.empty() ? 0 : 3;
 }
 
 // Every policy on the same seeds, on all cores; each against the first, with what the pairs show.
@@ -116,6 +139,10 @@
     run_command->add_option("--log", log, "Write what happens, a line each, to this file");
     std::string policy = "pinedoor";
     run_command->add_option("--policy", policy, "Who decides")->check(CLI::IsMember(policy_names()));
+    bool rules = false;
+    run_command->add_flag("--check", rules, "Check the six rules by the log; exit 3 if one is broken");
+    auto* judged = app.add_subcommand("judge", "Check the six rules by a log that was written");
+    judged->add_option("log", log, "The log of a run")->required();
     auto* compared = app.add_subcommand("compare", "Play a world under several policies, on the same seeds");
     std::vector<std::string> policies = policy_names();
     int seeds = 10;
@@ -128,6 +155,7 @@
     check->add_option("world", path, "A world's TOML")->required();
     try {
         app.parse(count, words);
+        if (judged->parsed()) return judge(log);
         auto world = World::read_file(path);
         if (check->parsed()) {
             std::printf("%s: good\n", path.c_str());
@@ -135,7 +163,7 @@
         }
         if (seeded->count() > 0) world.seed = seed;
         if (compared->parsed()) return compare_all(world, policies, seeds);
-        return run(world, *policy_named(policy), log);
+        return run(world, *policy_named(policy), log, rules);
     } catch (const CLI::ParseError& error) {
         return app.exit(error) == 0 ? 0 : 2;
     } catch (const std::exception& error) {
--- a/src/lab/simulation.cpp
+++ b/src/lab/simulation.cpp
@@ -8,6 +8,20 @@
 namespace {
 
 constexpr Time kSecond = 10'000;
+constexpr Time kStopWithin = 2'500;  // after a front node is told that a server is gone
+constexpr Time kGrace = 200;         // an answer's way to the client
+
+std::string name_of(Repeat repeat) {
+    return repeat == Repeat::kRetriable ? "retriable"
+           : repeat == Repeat::kDeduped ? "deduped"
+                                        : "non-retriable";
+}
+
+std::string name_of(Outcome outcome) {
+    static constexpr const char* kNames[] = {"returned",      "error", "full",      "timed-out",
+                                             "no-connection", "reset", "cancelled", "never-sent"};
+    return kNames[static_cast<std::size_t>(outcome)];
+}
 
 struct OpenPart {
     Id multiget = 0;
@@ -16,6 +30,10 @@
     bool in = false;
     std::vector<std::uint32_t> sends;  // slots, in their order; kEnded once told
 };
+std::string part_name(std::uint64_t part) {
+    return std::to_string(part >> 20U) + '.' + std::to_string(part & 0xfffffU);
+}
+
 constexpr std::uint32_t kEnded = UINT32_MAX;
 
 struct OpenMultiget {
@@ -49,7 +67,23 @@
 }
 
 Simulation::Simulation(const World& world, PolicyKind policy, std::function<void(const std::string&)> log)
-    : world_(world), policy_(policy), log_(std::move(log)), chance_(world.seed) {
+    : Simulation(
+          world, [policy](const NodeTerms& terms) { return make_policy(policy, terms); }, std::move(log)) {}
+
+Simulation::Simulation(const World& world, MakePolicy make, std::function<void(const std::string&)> log)
+    : world_(world), make_(std::move(make)), log_(std::move(log)), chance_(world.seed) {
+    say("world cold_from " + std::to_string(1 / world_.servers.cold_factor) + " warm_after " +
+        std::to_string(world_.servers.warm_after) + " fall " + std::to_string(world_.cold.fall_multiple) +
+        " tip " + std::to_string(world_.cold.tip_after) + " rate " +
+        std::to_string(world_.servers.cores / (world_.servers.part_ms.mean() * 10)) + " floor " +
+        std::to_string(world_.further.floor) + " ratio " + std::to_string(world_.further.ratio) +
+        " look_back " + std::to_string(world_.further.look_back) + " stop " + std::to_string(kStopWithin) +
+        " grace " + std::to_string(kGrace));
+    for (std::size_t kind = 0; kind < world_.clients.size(); ++kind) {
+        const auto& type = world_.clients[kind].type;
+        say("kind " + std::to_string(kind) + " repeat " + name_of(type.repeat) + " least " +
+            std::to_string(type.least_share) + " window " + std::to_string(type.dedup_window));
+    }
     for (int i = 0; i < world_.servers.count; ++i)
         servers_.push_back(std::make_unique<Server>(world_.servers.cores, world_.servers.queue));
     for (int i = 0; i < world_.nodes; ++i) {
@@ -115,12 +149,14 @@
             const auto open = node.era == what.era ? node.multigets.find(what.what) : node.multigets.end();
             if (open == node.multigets.end()) return;
             ++totals_.clients[open->second.kind].lost;  // it was promised an answer within this time
-            say("lost " + std::to_string(open->second.world_number));
             end(what.which, what.what, -1, false);
             return tell(what.which, ClientLeft{what.what});
         }
         case Kind::kTrouble: return trouble(world_.troubles[what.which], what.what == 0, what.which);
-        case Kind::kHear: return tell(what.which, ListNews{ListKind::kChanges, {entry(what.what)}});
+        case Kind::kHear:
+            say("told " + std::to_string(what.which) + " server " + std::to_string(what.what) +
+                (servers_[what.what]->up ? " ready" : " gone"));
+            return tell(what.which, ListNews{ListKind::kChanges, {entry(what.what)}});
     }
 }
 
@@ -143,7 +179,7 @@
     terms.cold = world_.cold;
     terms.clients.retry_after = true;
     terms.clients.longest_retry_after = kSecond;
-    node.front = make_policy(policy_, terms);
+    node.front = make_(terms);
     ListNews all{ListKind::kFull, {}};
     for (std::uint32_t i = 0; i < servers_.size(); ++i) all.entries.push_back(entry(i));
     tell(index, std::move(all));
@@ -246,9 +282,15 @@
         open.parts.push_back(part.id);
         node.parts[part.id] = {told.id, part.shard, part.weight, false, {}};
     }
-    say("ask " + std::to_string(open.world_number) + " at " + std::to_string(index) + " parts " +
-        std::to_string(count));
-    at(told.not_after + 200, Kind::kGiveUp, index, told.id, node.era);
+    if (log_) {
+        std::string line = "ask " + std::to_string(open.world_number) + " node " + std::to_string(index) +
+                           " kind " + std::to_string(kind) + " until " + std::to_string(told.not_after) +
+                           " parts";
+        for (const auto& part : told.parts)
+            line += ' ' + std::to_string(part.shard) + ':' + std::to_string(part.weight);
+        say(line);
+    }
+    at(told.not_after + kGrace, Kind::kGiveUp, index, told.id, node.era);
     node.multigets[told.id] = std::move(open);
     tell(index, std::move(told));
 }
@@ -263,9 +305,11 @@
     const auto& type = world_.clients[open.kind].type;
     auto& totals = totals_.clients[open.kind];
     double in = 0;
+    std::string in_text;
     for (const Id part : open.parts) {
         const auto found = node.parts.find(part);
         if (found->second.in) in += found->second.weight;
+        if (found->second.in && log_) in_text += ' ' + std::to_string(found->second.shard);
         node.parts.erase(found);
     }
     const Time took = now_ - open.asked;
@@ -279,10 +323,11 @@
     } else if (how > 0) {
         ++(how == 1 ? totals.pushed_back : totals.failed);
     }
-    if (how >= 0) {
-        static constexpr const char* kEnds[] = {"answer ", "push back ", "fail "};
-        say(kEnds[how] + std::to_string(open.world_number) + (whole ? " whole" : "") + " after " +
-            std::to_string(took));
+    if (log_ && how >= 0) {
+        const auto name = std::to_string(open.world_number);
+        say(how == 1   ? "push " + name
+            : how == 2 ? "fail " + name
+                       : "answer " + name + (whole ? " whole" : " part") + " shards" + in_text);
     }
 }
 
@@ -317,6 +362,10 @@
     out.references = 2;
     part.sends.push_back(slot);
     ++totals_.sends;
+    if (log_) {
+        say("send " + part_name(out.multiget) + " node " + std::to_string(index) + " server " +
+            std::to_string(out.server) + " number " + std::to_string(out.number));
+    }
     const auto& server = *servers_[out.server];
     at(server.vanished ? now_ + world_.sends.connect_timeout : now_ + delay(), Kind::kReach, slot);
     at(out.until, Kind::kOver, slot);
@@ -331,6 +380,7 @@
     auto& server = *servers_[out.server];
     out.server_era = server.era;
     out.reached = true;
+    if (log_) say("reach " + part_name(out.multiget) + " server " + std::to_string(out.server));
     if (server.vanished || !server.up) {
         answer_back(slot, Outcome::kNoConnection);
     } else if (server.full) {
@@ -366,10 +416,8 @@
     }
     const auto& type = world_.clients[out.op_type].type;
     ++totals_.run;
-    if (type.repeat == Repeat::kNonRetriable && ++ran_[out.multiget] > 1) {
-        ++totals_.run_twice;
-        say("twice " + std::to_string(out.multiget >> 20U));
-    }
+    if (log_) say("run " + part_name(out.multiget) + " server " + std::to_string(out.server));
+    if (type.repeat == Repeat::kNonRetriable && ++ran_[out.multiget] > 1) ++totals_.run_twice;
     at(now_ + std::max<Time>(1, static_cast<Time>(ms * 10 + 0.5)), Kind::kWorked, slot, 0, server.era);
 }
 
@@ -401,6 +449,7 @@
     out.told = true;
     auto& node = *nodes_[out.node];
     if (node.era != out.era) return;  // who asked is dead
+    if (log_) say("back " + part_name(out.multiget) + ' ' + name_of(outcome));
     if (outcome == Outcome::kTimedOut && world_.sends.cancel) {
         if (servers_[out.server]->model.call_off(slot)) release(slot);
     }
@@ -428,6 +477,7 @@
     server.up = true;
     server.vanished = false;
     server.started = now_;
+    say("start " + std::to_string(index));
 }
 
 void Simulation::trouble(const Trouble& trouble, bool begins, std::uint32_t index) {
@@ -439,8 +489,11 @@
         if (of_nodes) {
             if (!begins) continue;
             auto& node = *nodes_[each];
-            for (const auto& [id, open] : node.multigets)
-                ++totals_.clients[open.kind].failed;  // its connections end
+            for (const auto& [id, open] : node.multigets) {  // its connections end
+                ++totals_.clients[open.kind].failed;
+                say("gone " + std::to_string(open.world_number));
+            }
+            say("killed " + std::to_string(each));
             ++totals_.node_kills;
             start_node(each);
             continue;
--- a/src/lab/simulation.hpp
+++ b/src/lab/simulation.hpp
@@ -35,6 +35,8 @@
     // `log` is given a line for each thing that happens, if it is there.
     explicit Simulation(const World& world, PolicyKind policy = PolicyKind::kPinedoor,
                         std::function<void(const std::string&)> log = {});
+    using MakePolicy = std::function<std::unique_ptr<Policy>(const NodeTerms&)>;
+    Simulation(const World& world, MakePolicy make, std::function<void(const std::string&)> log);
     ~Simulation();
     Totals run();
 
@@ -105,7 +107,7 @@
     void say(const std::string& line);
 
     const World world_;
-    const PolicyKind policy_;
+    const MakePolicy make_;
     const std::function<void(const std::string&)> log_;
     Chance chance_;
     Time now_ = 0;
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -2,9 +2,12 @@
 // them.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <map>
+#include <sstream>
 
+#include "lab/checker.hpp"
 #include "lab/compare.hpp"
 #include "lab/server_model.hpp"
 #include "lab/simulation.hpp"
@@ -51,7 +54,8 @@
     auto world = World::from_text(text, "w.toml");
     world.seed = seed;
     std::string log;
-    Simulation simulation(world, PolicyKind::kPinedoor, [&log](const std::string& line) { log += line + '\n'; });
+    Simulation simulation(world, PolicyKind::kPinedoor,
+                          [&log](const std::string& line) { log += line + '\n'; });
     auto totals = simulation.run();
     return {std::move(log), std::move(totals)};
 }
@@ -159,6 +163,106 @@
     CHECK(service["pinedoor"] > service["random"] + 0.02);
 }
 
+std::vector<Breach> judged(const std::string& log) {
+    RuleChecker checker;
+    std::istringstream lines(log);
+    for (std::string line; std::getline(lines, line);) checker.take(line);
+    return checker.finish();
+}
+
+bool names(const std::vector<Breach>& found, Breach::Rule rule) {
+    return std::any_of(found.begin(), found.end(), [rule](const Breach& each) { return each.rule == rule; });
+}
+
+TEST_CASE(
+    "the checker finds nothing in the module's logs, and each planted breach of a rule in an edited one") {
+    using Rule = Breach::Rule;
+    for (const char* kind : {"crash", "hang", "errors", "node-killed"}) {
+        CAPTURE(kind);
+        const auto found = judged(play(troubles({kind}), 3).first);
+        for (const auto& each : found) {
+            const auto what = name_of(each.rule) + " " + each.what;
+            FAIL_CHECK(what);
+        }
+    }
+    const std::string log =
+        "0 world cold_from 0.25 warm_after 1000 fall 3 tip 100 rate 0.1 floor 2 ratio 0 look_back 500 stop "
+        "250 grace 20\n"
+        "0 kind 0 repeat retriable least 0.5 window 0\n0 kind 1 repeat non-retriable least 1 window 0\n"
+        "0 kind 2 repeat deduped least 1 window 300\n"
+        "10 ask 1 node 0 kind 0 until 900 parts 1:0.6 2:0.4\n11 send 1.1 node 0 server 4 number 0\n"
+        "12 run 1.1 server 4\n20 back 1.1 returned\n";
+    const std::string end = "30 answer 1 part shards 1\n2000 done\n";
+    CHECK(judged(log + end).empty());
+    CHECK(names(judged(log + "2000 done\n"), Rule::kNoneLost));
+    CHECK(names(judged(log + "921 answer 1 part shards 1\n"), Rule::kNoneLost));
+    CHECK(names(judged(log + end + "40 push 1\n"), Rule::kNoneLost));
+    CHECK(names(judged(log + "30 answer 1 whole shards 1\n"), Rule::kHonestAnswers));
+    CHECK(names(judged(log + "30 answer 1 part shards 1 2\n"), Rule::kHonestAnswers));
+    CHECK(names(judged(log + "30 back 1.2 returned\n31 answer 1 part shards 2\n"), Rule::kHonestAnswers));
+    CHECK(names(judged(log + end + "40 push 77\n"), Rule::kHonestAnswers));
+    const std::string once = "40 ask 2 node 0 kind 1 until 900 parts 1:1\n41 run 2.1 server 4\n";
+    CHECK(judged(log + end + once + "50 fail 2\n").empty());
+    CHECK(names(judged(log + end + once + "45 run 2.1 server 5\n50 fail 2\n"), Rule::kNoEffectTwice));
+    const std::string marked = "40 ask 2 node 0 kind 2 until 900 parts 1:1\n41 run 2.1 server 4\n";
+    CHECK(judged(log + end + marked + "341 run 2.1 server 5\n350 fail 2\n").empty());
+    CHECK(names(judged(log + end + marked + "342 run 2.1 server 5\n350 fail 2\n"), Rule::kNoEffectTwice));
+    const std::string gone = "12 told 0 server 4 gone\n";
+    CHECK(judged(log + gone + "262 send 1.2 node 0 server 4 number 0\n" + end).empty());
+    CHECK(names(judged(log + gone + "263 send 1.2 node 0 server 4 number 0\n" + end), Rule::kDrainsKept));
+    CHECK(judged(log + gone + "20 told 0 server 4 ready\n263 send 1.2 node 0 server 4 number 0\n" + end)
+              .empty());
+    std::string further = log, flood = log + "20 start 4\n";
+    for (int i = 1; i <= 3; ++i) further += "2" + std::to_string(i) + " send 1.1 node 0 server 5 number 1\n";
+    CHECK(names(judged(further + end), Rule::kBudget));
+    CHECK(judged(further.substr(0, further.rfind("23 ")) + end).empty());
+    for (int i = 0; i < 9; ++i) flood += "21 reach 1.1 server 4\n";
+    CHECK(names(judged(flood + end), Rule::kNoColdServerOver));
+    CHECK(judged(flood.substr(0, flood.rfind("21 ")) + end).empty());
+}
+
+// The module with a fault built in.
+class Faulty : public Policy {
+public:
+    Faulty(char fault, const NodeTerms& terms)
+        : fault_(fault), inner_(make_policy(PolicyKind::kPinedoor, terms)) {}
+    std::vector<Action> turn(Time now, const std::vector<Event>& events) override {
+        std::vector<Action> out;
+        for (auto action : inner_->turn(now, events)) {
+            if (auto* answer = std::get_if<Answer>(&action)) {
+                if (fault_ == 'l' && ++seen_ % 50 == 0) continue;
+                if (fault_ == 'h') answer->whole = true;
+            }
+            const auto* send = std::get_if<Send>(&action);
+            out.push_back(action);
+            if (fault_ == 't' && send != nullptr) out.push_back(*send);
+        }
+        return out;
+    }
+
+private:
+    char fault_;
+    int seen_ = 0;
+    std::unique_ptr<Policy> inner_;
+};
+
+TEST_CASE("the checker finds a fault that is built into a front node") {
+    using Rule = Breach::Rule;
+    for (const auto& [fault, rule] : {std::pair{'l', Rule::kNoneLost},
+                                      {'h', Rule::kHonestAnswers},
+                                      {'t', Rule::kNoEffectTwice},
+                                      {'t', Rule::kBudget}}) {
+        const auto world = World::from_text(troubles({"hang", "errors"}), "w.toml");
+        RuleChecker checker;
+        Simulation(
+            world, [f = fault](const NodeTerms& terms) { return std::make_unique<Faulty>(f, terms); },
+            [&checker](const std::string& line) { checker.take(line); })
+            .run();
+        CAPTURE(fault);
+        CHECK(names(checker.finish(), rule));
+    }
+}
+
 TEST_CASE("pairs show a difference that is there, and none where there is none") {
     Chance chance(5);
     std::vector<double> a, b, c;
