--- a/demo/main.cpp
+++ b/demo/main.cpp
@@ -67,13 +67,37 @@
     program.counter_at("store_condition", 1);
     show.ask("once", {5}, "booth-a", "a");
     show.ask("once", {7}, "booth-s", "s");
-    show.say("$ pinedoor store list");
-    std::fputs(program.store("list").c_str(), stdout);
+    const auto store = [&](const std::string& words) {
+        auto shown = words;  // without this run's own folder
+        for (auto at = shown.find(program.folder()); at != std::string::npos;
+             at = shown.find(program.folder()))
+            shown.replace(at, program.folder().size() + 1, "");
+        auto told = program.store(words);
+        for (auto at = told.find(program.folder()); at != std::string::npos; at = told.find(program.folder()))
+            told.replace(at, program.folder().size() + 1, "");
+        std::printf("\n$ pinedoor store %s\n%s", shown.c_str(), told.c_str());
+        return told;
+    };
+    show.say("An operator looks, and settles what is in doubt by what the books say.");
+    const auto doubtful = store("list --state in-doubt");
+    std::istringstream words(doubtful);
+    std::string time, state, record;
+    words >> time >> state >> record;
+    store("show " + record);
+    store("resolve " + record + " answered --who ann --why \"it is in the server's books\"");
+    store("list");
+    store("verify");
+    store("backup " + program.folder() + "/copy.db");
+    store("restore --add " + program.folder() + "/copy.db");
+    store("export --format csv --state failed");
+    store("prune --before 30d");
+    store("follow --for 0.3");
+    store("show");
     int most = 0;
     for (auto& server : servers) {
         for (const auto& [text, runs] : server.runs()) most = text == "read-a" ? most : std::max(most, runs);
     }
     std::printf("\nThe index servers ran no booth more than %d time.\n", most);
     program.kill(SIGTERM);
-    return program.wait() == 0 && most == 1 ? 0 : 1;
+    return program.wait() == 0 && most == 1 && state == "in-doubt" ? 0 : 1;
 }
--- a/src/store/catalog.cpp
+++ b/src/store/catalog.cpp
@@ -200,4 +200,90 @@
     return found;
 }
 
+namespace {
+
+// Calls `each` for every row of a table of the copy, in the order of its first three columns, `step` rows in
+// one transaction of the store.
+template <class Each>
+void copy_rows(SqlDb& db, SqlDb& copy, const std::string& columns, const std::string& table, std::size_t step,
+               Each each) {
+    const auto order = columns.substr(0, columns.find(',', columns.find(',', columns.find(',') + 1) + 1));
+    std::vector<Value> after{std::string(), std::int64_t{-1}, std::int64_t{-1}};
+    for (;;) {
+        const auto rows = copy.run("SELECT " + columns + " FROM " + table + " WHERE (" + order +
+                                       ") > ($1, $2, $3) ORDER BY " + order + " LIMIT $4",
+                                   {after[0], after[1], after[2], static_cast<std::int64_t>(step)});
+        if (rows.empty()) return;
+        Transaction transaction(db);
+        for (const auto& row : rows) each(row);
+        transaction.commit();
+        after.assign(rows.back().begin(), rows.back().begin() + 3);
+    }
+}
+
+}  // namespace
+
+TakenBack take_back(SqlDb& db, SqlDb& copy, std::size_t step) {
+    TakenBack taken;
+    for (const auto& row :
+         copy.run("SELECT node, incarnation, birth, started, seen, ended FROM incarnations")) {
+        db.run(
+            "INSERT INTO incarnations(node, incarnation, birth, started, seen, ended) "
+            "VALUES ($1, $2, $3, $4, $5, $6) ON CONFLICT DO NOTHING",
+            row);
+    }
+    const std::string named = " WHERE node = $1 AND incarnation = $2 AND number = $3";
+    copy_rows(
+        db, copy,
+        "node, incarnation, number, op_type, tenant, client, ikey, asked, not_after, parts, fate, ended, "
+        "part_fates, note, answer",
+        "records", step, [&](const Row& row) {
+            const auto there = db.run("SELECT fate FROM records" + named, {row[0], row[1], row[2]});
+            if (there.empty()) {
+                db.run(
+                    "INSERT INTO records(node, incarnation, number, op_type, tenant, client, ikey, asked, "
+                    "not_after, parts, fate, ended, part_fates, note, answer) VALUES ($1, $2, $3, $4, $5, "
+                    "$6, $7, $8, $9, $10, $11, $12, $13, $14, $15) ON CONFLICT DO NOTHING",
+                    row);
+                ++taken.records;
+            } else if (std::holds_alternative<std::monostate>(there[0][0]) &&
+                       !std::holds_alternative<std::monostate>(row[10])) {
+                db.run("UPDATE records SET fate = $4, ended = $5, part_fates = $6, note = $7, answer = $8" +
+                           named + " AND fate IS NULL",
+                       {row[0], row[1], row[2], row[10], row[11], row[12], row[13], row[14]});
+                ++taken.outcomes;
+            }
+        });
+    // A key goes with its record: as the copy has it where nobody holds it, closed where the record is
+    // closed.
+    copy_rows(
+        db, copy, "node, incarnation, number, tenant, ikey, fingerprint, asked, state", "claims", step,
+        [&](const Row& row) {
+            const auto there =
+                db.run("SELECT node, incarnation, number FROM claims WHERE tenant = $1 AND ikey = $2",
+                       {row[3], row[4]});
+            if (there.empty()) {
+                db.run(
+                    "INSERT INTO claims(node, incarnation, number, tenant, ikey, fingerprint, asked, state) "
+                    "VALUES ($1, $2, $3, $4, $5, $6, $7, $8) ON CONFLICT DO NOTHING",
+                    row);
+                ++taken.keys;
+            } else if (std::equal(there[0].begin(), there[0].end(), row.begin())) {
+                db.run("UPDATE claims SET state = $3 WHERE tenant = $1 AND ikey = $2 AND state = 0",
+                       {row[3], row[4], row[7]});
+            } else {
+                ++taken.keys_held;
+            }
+        });
+    for (const auto& row :
+         copy.run("SELECT node, incarnation, number, at, who, why, was, became FROM history")) {
+        db.run(
+            "INSERT INTO history(node, incarnation, number, at, who, why, was, became) "
+            "SELECT $1, $2, $3, $4, $5, $6, $7, $8 WHERE NOT EXISTS (SELECT 1 FROM history" +
+                named + " AND at = $4)",
+            row);
+    }
+    return taken;
+}
+
 }  // namespace pinedoor::store
--- a/src/store/catalog.hpp
+++ b/src/store/catalog.hpp
@@ -70,4 +70,16 @@
 // What cannot be, in words; nothing if all is well.
 std::vector<std::string> find_contradictions(SqlDb& db);
 
+// What a copy holds and the store does not is added: whole records, outcomes of records that have none, keys
+// that nobody holds, and what persons settled. Nothing that is there is overwritten, so nodes may go on
+// writing, and it may be done again after a break. `step` rows in one transaction. The copy is of the present
+// schema.
+struct TakenBack {
+    std::size_t records = 0;   // that were not there
+    std::size_t outcomes = 0;  // of records that had none
+    std::size_t keys = 0;
+    std::size_t keys_held = 0;  // by another record by now: left as they are
+};
+TakenBack take_back(SqlDb& db, SqlDb& copy, std::size_t step);
+
 }  // namespace pinedoor::store
--- a/src/tool/store_commands.cpp
+++ b/src/tool/store_commands.cpp
@@ -232,9 +232,14 @@
         auto* backup =
             command("backup", "Copy a SQLite store while nodes write", [this] { return back_up(); });
         backup->add_option("file", path_, "The copy, which must not be there")->required();
-        auto* restore =
-            command("restore", "Put a copy in place of a SQLite store", [this] { return this->restore(); });
+        auto* restore = command(
+            "restore", "Put a copy in place of a SQLite store that is gone, or add what a store lacks",
+            [this] { return this->restore(); });
         restore->add_option("file", path_, "The copy")->required();
+        restore->add_flag(
+            "--add", add_,
+            "Add what the store lacks, SQLite or PostgreSQL, also while nodes write; nothing is "
+            "overwritten");
         auto* verify = command("verify", "Look for what cannot be; exit 3 if there is any",
                                [this] { return this->verify(); });
         verify->add_flag("--json", json_, "One JSON object");
@@ -412,17 +417,27 @@
     }
 
     int restore() {
-        if (terms().kind != store::Kind::kSqlite)
-            throw Unusable("only a SQLite store is restored from a copy");
-        const auto to = terms().sqlite_path();
         if (!std::filesystem::exists(path_)) throw Unusable("there is no '" + path_ + "'");
         store::SqliteDb copy(path_);
         check_schema(copy);
         if (const auto amiss = copy.check_integrity(); !amiss.empty())
             throw Unusable("'" + path_ + "' is damaged: " + amiss.front());
+        if (add_) {
+            const auto db = open();
+            const auto taken = store::take_back(*db, copy, step_);
+            std::printf("%zu records, %zu outcomes, %zu keys added\n", taken.records, taken.outcomes,
+                        taken.keys);
+            if (taken.keys_held > 0)
+                std::printf("%zu keys are held by other records by now, and were left\n", taken.keys_held);
+            return kDone;
+        }
+        if (terms().kind != store::Kind::kSqlite)
+            throw Unusable("a PostgreSQL store is not replaced by a copy; write --add to add what it lacks");
+        const auto to = terms().sqlite_path();
         if (std::filesystem::exists(to)) {
             throw Unusable("'" + to +
-                           "' is there; stop the front node and move it away first, with its -wal and -shm");
+                           "' is there; write --add to add what it lacks, or stop the front node and move it "
+                           "away first, with its -wal and -shm");
         }
         copy.back_up(to);
         std::printf("%s\n", to.c_str());
@@ -489,6 +504,7 @@
     std::size_t step_ = 500;
     double seconds_ = 0;
     bool json_ = false;
+    bool add_ = false;
     std::optional<store::StoreTerms> terms_;
 };
 
--- a/tests/stand_ins/postgres.cpp
+++ b/tests/stand_ins/postgres.cpp
@@ -5,7 +5,11 @@
 #include <netinet/tcp.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
+#include <openssl/pem.h>
+#include <openssl/ssl.h>
+#include <openssl/x509v3.h>
 #include <poll.h>
+#include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -118,9 +122,49 @@
 
 }  // namespace
 
+// A key and a certificate that it signed itself, and what TLS sessions are made from.
+struct PostgresStandIn::Tls {
+    explicit Tls(const std::string& certificate_file)
+        : key(EVP_EC_gen("P-256"), EVP_PKEY_free), certificate(X509_new(), X509_free),
+          context(SSL_CTX_new(TLS_server_method()), SSL_CTX_free) {
+        auto* const x509 = certificate.get();
+        X509_set_version(x509, 2);
+        ASN1_INTEGER_set(X509_get_serialNumber(x509), 1);
+        X509_gmtime_adj(X509_getm_notBefore(x509), -3'600);
+        X509_gmtime_adj(X509_getm_notAfter(x509), 86'400);
+        X509_set_pubkey(x509, key.get());
+        auto* const name = X509_get_subject_name(x509);
+        const auto* const text = reinterpret_cast<const unsigned char*>("records.test");
+        X509_NAME_add_entry_by_txt(name, "CN", MBSTRING_ASC, text, -1, -1, 0);
+        X509_set_issuer_name(x509, name);
+        for (const auto& [kind, value] :
+             {std::pair{NID_basic_constraints, "CA:TRUE"}, {NID_subject_alt_name, "DNS:records.test"}}) {
+            auto* const extension = X509V3_EXT_conf_nid(nullptr, nullptr, kind, value);
+            X509_add_ext(x509, extension, -1);
+            X509_EXTENSION_free(extension);
+        }
+        if (X509_sign(x509, key.get(), EVP_sha256()) == 0 ||
+            SSL_CTX_use_certificate(context.get(), x509) != 1 ||
+            SSL_CTX_use_PrivateKey(context.get(), key.get()) != 1) {
+            std::abort();
+        }
+        auto* const file = std::fopen(certificate_file.c_str(), "w");
+        if (file == nullptr || PEM_write_X509(file, x509) != 1) std::abort();
+        std::fclose(file);
+    }
+
+    std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)> key;
+    std::unique_ptr<X509, decltype(&X509_free)> certificate;
+    std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)> context;
+};
+
 struct PostgresStandIn::Session {
     Session(PostgresStandIn& server, net::Fd fd) : server_(server), fd_(std::move(fd)) {
         thread_ = std::thread([this] {
+            sigset_t pipe;  // what TLS writes after the other end has gone raises it
+            sigemptyset(&pipe);
+            sigaddset(&pipe, SIGPIPE);
+            pthread_sigmask(SIG_BLOCK, &pipe, nullptr);
             try {
                 run();
             } catch (const std::exception&) {  // ends the connection, as it would a real server's
@@ -154,7 +198,8 @@
     std::string read(std::size_t count) {
         std::string bytes(count, '\0');
         for (std::size_t got = 0; got < count;) {
-            const auto more = recv(fd_.get(), bytes.data() + got, count - got, 0);
+            const auto more = tls_ ? SSL_read(tls_.get(), bytes.data() + got, static_cast<int>(count - got))
+                                   : recv(fd_.get(), bytes.data() + got, count - got, 0);
             if (more <= 0) throw Broken("the other end has gone");
             got += static_cast<std::size_t>(more);
         }
@@ -164,7 +209,8 @@
         std::string_view rest = out_;
         while (!rest.empty()) {
             const auto step = server_.slow_bytes ? 1 : rest.size();
-            const auto count = ::send(fd_.get(), rest.data(), step, MSG_NOSIGNAL);
+            const auto count = tls_ ? SSL_write(tls_.get(), rest.data(), static_cast<int>(step))
+                                    : ::send(fd_.get(), rest.data(), step, MSG_NOSIGNAL);
             if (count <= 0) throw Broken("the other end has gone");
             rest.remove_prefix(static_cast<std::size_t>(count));
         }
@@ -201,10 +247,17 @@
             In in(body);
             const auto code = in.number(4);
             if (code == 80877103 || code == 80877104) {  // SSLRequest, GSSENCRequest
-                out_ = "N";
+                const bool yes = code == 80877103 && server_.tls_;
+                out_ = yes ? "S" : "N";
                 flush();
+                if (!yes) continue;
+                tls_.reset(SSL_new(server_.tls_->context.get()));
+                SSL_set_fd(tls_.get(), fd_.get());
+                if (SSL_accept(tls_.get()) != 1) throw Broken("no TLS");
+                ++server_.tls_connections;
                 continue;
             }
+            if (server_.tls_ && !tls_) throw Broken("TLS is asked for here");
             if (code == 80877102) {  // CancelRequest
                 ++server_.cancels;
                 return false;
@@ -289,6 +342,7 @@
         }
     }
     bool more_has_come() const {
+        if (tls_ && SSL_pending(tls_.get()) > 0) return true;
         pollfd ready{fd_.get(), POLLIN, 0};
         return poll(&ready, 1, 0) == 1;
     }
@@ -446,6 +500,7 @@
 
     PostgresStandIn& server_;
     net::Fd fd_;
+    std::unique_ptr<SSL, decltype(&SSL_free)> tls_{nullptr, SSL_free};
     std::atomic<bool> cut_ = false;
     std::string out_;
     std::unique_ptr<store::SqliteDb> db_;
@@ -475,6 +530,10 @@
     thread_ = std::thread([this] { accept_all(); });
 }
 
+void PostgresStandIn::speak_tls(const std::string& certificate_file) {
+    tls_ = std::make_unique<Tls>(certificate_file);
+}
+
 PostgresStandIn::~PostgresStandIn() {
     stopping_ = true;
     thread_.join();
--- a/tests/stand_ins/postgres.hpp
+++ b/tests/stand_ins/postgres.hpp
@@ -1,7 +1,8 @@
 // A stand-in for a PostgreSQL server, from its published protocol, version 3.0 (the documentation's part
 // "Frontend/Backend Protocol"): start-up, SCRAM-SHA-256 (RFC 5802, RFC 7677), simple and extended query with
-// pipelining, errors that skip to the next Sync, cancel requests. It keeps its rows in a SQLite file, so what
-// it tells is what it holds; a transaction is one of SQLite's. Only the SQL that both share is understood.
+// pipelining, errors that skip to the next Sync, cancel requests, TLS by SSLRequest. It keeps its rows in a
+// SQLite file, so what it tells is what it holds; a transaction is one of SQLite's. Only the SQL that both
+// share is understood.
 //
 // Faults are told to it while it runs, each by its name; it counts what it did.
 #pragma once
@@ -28,6 +29,9 @@
     ~PostgresStandIn();
 
     std::string conninfo() const;  // with user and password
+    // From now on connections must be TLS's, with a certificate of its own for the name records.test, which
+    // is written to `certificate_file`.
+    void speak_tls(const std::string& certificate_file);
     std::uint16_t port() const { return port_; }
 
     // Faults. A number: at so many more times that it comes to that, counting down, 0: never.
@@ -40,15 +44,19 @@
     std::atomic<bool> slow_bytes = false;     // what it says comes byte by byte
     void kill();                              // all connections break; what is not committed is gone
 
-    std::atomic<int> connections = 0, commits = 0, wrong_passwords = 0, cancels = 0, errors = 0;
+    std::atomic<int> connections = 0, tls_connections = 0, commits = 0, wrong_passwords = 0, cancels = 0,
+                     errors = 0;
 
 private:
     struct Session;
 
     void accept_all();
 
+    struct Tls;
+
     const std::string file_;
     const std::string password_;
+    std::unique_ptr<Tls> tls_;  // set before any connection
     net::Fd listener_;
     std::uint16_t port_ = 0;
     std::atomic<bool> stopping_ = false;
--- a/tests/store/record_test.cpp
+++ b/tests/store/record_test.cpp
@@ -388,4 +388,62 @@
     }
 }
 
+TEST_CASE("PostgreSQL over TLS: a server with the right certificate is used, another is not, none without") {
+    Shared shared;
+    const auto right = scratch() + "/pinedoor-right-" + std::to_string(getpid()) + ".pem";
+    const auto wrong = scratch() + "/pinedoor-wrong-" + std::to_string(getpid()) + ".pem";
+    PostgresStandIn(shared.file + "-other").speak_tls(wrong);
+    shared.postgres.speak_tls(right);
+    auto settings = shared.settings();
+    const auto state = [&settings](const std::string& more) {
+        const auto at = settings.find("hostaddr");
+        settings.insert(at, more + " ");
+    };
+    SUBCASE("right") {
+        state("host=records.test sslmode=verify-full sslrootcert=" + right);
+        Node node(settings);
+        node.go();
+        CHECK(shared.init(node) == "schema 2\n");
+        CHECK(node.program.counter_at("store_condition", 1) == 1);
+        shared.postgres.slow_bytes = true;
+        CHECK(node.ask("once", "t1", keyed("k")) == "St1.1 1 1\nq");
+        node.link.reply("t1.1", "done", "x");
+        CHECK(node.client.answer() == kX);
+        shared.postgres.slow_bytes = false;
+        shared.postgres.kill();  // and over a new connection, what was recorded
+        node.say("once", "t2", keyed("k"));
+        const auto answer = node.client.answer();
+        CHECK((answer == kX || answer.starts_with("503 ")));
+        CHECK(node.program.counter_at("store_condition", 1) == 1);
+        node.say("once", "t3", keyed("k"));
+        CHECK(node.client.answer() == kX);
+        CHECK(shared.postgres.tls_connections >= 3);
+    }
+    SUBCASE("another's certificate") {
+        state("host=records.test sslmode=verify-full sslrootcert=" + wrong);
+        Node node(settings);
+        node.go();
+        CHECK(node.program.counter_at("store_condition", 3) == 3);
+        CHECK(node.program.log().find("certificate verify failed") != std::string::npos);
+        node.say("once", "t1", keyed("k"));
+        CHECK(node.client.answer().starts_with("503 "));
+    }
+    SUBCASE("another name") {
+        state("host=records.elsewhere sslmode=verify-full sslrootcert=" + right);
+        Node node(settings);
+        node.go();
+        CHECK(node.program.counter_at("store_condition", 3) == 3);
+        CHECK(node.program.log().find("does not match host name") != std::string::npos);
+    }
+    SUBCASE("without TLS") {
+        state("sslmode=disable");
+        Node node(settings);
+        node.go();
+        CHECK(node.program.counter_at("store_condition", 3) == 3);
+        CHECK(shared.postgres.tls_connections == 0);
+    }
+    std::filesystem::remove(right);
+    std::filesystem::remove(wrong);
+}
+
 }  // namespace
--- a/tests/tool_test.cpp
+++ b/tests/tool_test.cpp
@@ -151,8 +151,8 @@
     CHECK(run(store + "prune --before 30d --step 100") == "499 records deleted\n");  // what is in doubt stays
     CHECK(run(store + "list").find("in-doubt           n/1/7 ") != std::string::npos);
     CHECK(run(store + "verify") == "nothing amiss\n");
-    CHECK(run(store + "restore " + folder.path + "/copy.db").find("is there; stop the front node") !=
-          std::string::npos);
+    CHECK(run(store + "restore " + folder.path + "/copy.db")
+              .find("is there; write --add to add what it lacks") != std::string::npos);
     const auto other = "store --sqlite " + folder.path + "/other.db ";
     CHECK(run(other + "restore " + folder.path + "/copy.db") == folder.path + "/other.db\n");
     CHECK(lines(run(other + "export")) == 600);
@@ -164,6 +164,52 @@
     CHECK(run(other + "restore " + folder.path + "/bad.db").ends_with("exit 1\n"));
 }
 
+TEST_CASE("restore --add puts back what a store has lost, and leaves what it has learnt since") {
+    const Folder folder;
+    const auto file = folder.path + "/r.db", copy = folder.path + "/copy.db";
+    const auto store = "store --sqlite " + file + " ";
+    run(store + "init");
+    store::SqliteDb db(file);
+    const auto write = [&db](std::uint64_t number, const std::string& key, std::optional<store::Fate> fate) {
+        store::Intent intent;
+        intent.id = {"n", 1, number};
+        intent.op_type = "once";
+        intent.key = key;
+        intent.fingerprint = "f";
+        intent.asked = 1'000 + static_cast<store::Time>(number);
+        std::vector<store::Entry> entries{intent};
+        store::Outcome outcome;
+        outcome.id = intent.id;
+        outcome.key = key;
+        if (fate) outcome.fate = *fate;
+        outcome.ended = 2'000;
+        if (fate) entries.emplace_back(outcome);
+        store::write_entries(db, entries, 1'000);
+    };
+    for (std::uint64_t i = 1; i <= 20; ++i) write(i, "k" + std::to_string(i), store::Fate::kAnswered);
+    write(21, "doubt", std::nullopt);
+    run(store + "resolve n/1/21 failed --who ann --why seen");
+    run(store + "backup " + copy);
+    // Lost: 1 to 3 whole, the outcomes of 4 and 5. Since then: k1 is held by another, 6 is failed.
+    db.run("DELETE FROM records WHERE number <= 3");
+    db.run("DELETE FROM claims WHERE number <= 3");
+    db.run("DELETE FROM history");
+    db.run("UPDATE records SET fate = NULL, ended = NULL WHERE number IN (4, 5)");
+    db.run("UPDATE claims SET state = 0 WHERE number IN (4, 5)");
+    db.run("UPDATE records SET fate = 4 WHERE number = 6");
+    write(30, "k1", std::nullopt);
+    const auto told = run(store + "restore --add " + copy);
+    CHECK(told ==
+          "3 records, 2 outcomes, 2 keys added\n1 keys are held by other records by now, and were left\n");
+    CHECK(run(store + "verify") == "nothing amiss\n");
+    CHECK(store::number_of(db.run("SELECT count(*) FROM records WHERE fate = 1")[0][0]) == 19);
+    CHECK(store::number_of(db.run("SELECT fate FROM records WHERE number = 6")[0][0]) == 4);
+    CHECK(store::number_of(db.run("SELECT number FROM claims WHERE ikey = 'k1'")[0][0]) == 30);
+    CHECK(run(store + "show n/1/21").find("by ann as failed: seen") != std::string::npos);
+    CHECK(run(store + "restore --add " + copy) ==
+          "0 records, 0 outcomes, 0 keys added\n1 keys are held by other records by now, and were left\n");
+}
+
 TEST_CASE("follow prints what comes and how it ends") {
     const Folder folder;
     const auto store = "store --sqlite " + folder.path + "/r.db ";
