--- /dev/null
+++ b/bench/lab.cpp
@@ -0,0 +1,149 @@
+// The laboratory's structures against plain ones, as ratios within one run; prints the tables of docs/lab.md.
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include "lab/event_wheel.hpp"
+#include "lab/sketch.hpp"
+
+namespace {
+
+using namespace pinedoor;
+using namespace pinedoor::lab;
+using Clock = std::chrono::steady_clock;
+
+double seconds_since(Clock::time_point began) {
+    return std::chrono::duration<double>(Clock::now() - began).count();
+}
+
+struct Happening {  // as large as the simulation's
+    Time at = 0;
+    std::uint64_t order = 0;
+    std::uint32_t words[4] = {};
+    bool operator<(const Happening& other) const {
+        return at != other.at ? at > other.at : order > other.order;
+    }
+};
+
+// Holds `size` and, a million times, takes the next and pushes another: ns for each.
+template <class Push, class Pop>
+double hold(std::size_t size, Push push, Pop pop) {
+    std::mt19937_64 chance(1);
+    const auto ahead = [&chance] {  // most near, some as far as a time-out
+        const auto draw = chance();
+        return static_cast<Time>(draw % 8 == 0 ? 1 + draw / 8 % 8'000 : 1 + draw / 8 % 200);
+    };
+    for (std::size_t i = 0; i < size; ++i) push(ahead());
+    constexpr int kTimes = 1'000'000;
+    const auto began = Clock::now();
+    for (int i = 0; i < kTimes; ++i) push(pop() + ahead());
+    return seconds_since(began) / kTimes * 1e9;
+}
+
+void measure_wheel() {
+    std::printf("\nTake the next event and push another, ns (median of 5, in turn)\n");
+    std::printf("  %10s %12s %12s %8s\n", "held", "queue", "wheel", "ratio");
+    for (const std::size_t size : {100U, 1'000U, 10'000U, 100'000U, 1'000'000U}) {
+        std::vector<double> queues, wheels;
+        for (int run = 0; run < 5; ++run) {
+            std::priority_queue<Happening> queue;
+            std::uint64_t order = 0;
+            queues.push_back(hold(
+                size,
+                [&](Time at) {
+                    queue.push({at, ++order, {}});
+                },
+                [&] {
+                    const auto at = queue.top().at;
+                    queue.pop();
+                    return at;
+                }));
+            EventWheel<Happening> wheel;
+            wheels.push_back(hold(
+                size,
+                [&](Time at) {
+                    wheel.push(at, {at, ++order, {}});
+                },
+                [&] { return wheel.pop().at; }));
+        }
+        std::sort(queues.begin(), queues.end());
+        std::sort(wheels.begin(), wheels.end());
+        std::printf("  %10zu %12.1f %12.1f %8.2f\n", size, queues[2], wheels[2], queues[2] / wheels[2]);
+    }
+}
+
+void measure_sketch() {
+    std::printf("\nA million times to an answer, then the 50th, 99th and 99.9th percentile\n");
+    std::printf("  %-28s %10s %10s %14s %12s\n", "way", "add, ns", "ask, us", "worst error", "bytes");
+    std::mt19937_64 chance(1);
+    std::lognormal_distribution<double> draw(2, 1.5);
+    std::vector<double> times(1'000'000);
+    for (auto& each : times) each = draw(chance);
+    auto sorted = times;
+    std::sort(sorted.begin(), sorted.end());
+    const std::vector<double> asked{0.5, 0.99, 0.999};
+    const auto truth = [&](double q) { return sorted[static_cast<std::size_t>(q * 999'999)]; };
+    const auto print = [&](const char* way, double add, double ask, const std::vector<double>& got,
+                           std::size_t bytes) {
+        double worst = 0;
+        for (std::size_t i = 0; i < asked.size(); ++i)
+            worst = std::max(worst, std::abs(got[i] - truth(asked[i])) / truth(asked[i]));
+        std::printf("  %-28s %10.1f %10.1f %13.3f%% %12zu\n", way, add * 1e3, ask * 1e6, worst * 100, bytes);
+    };
+    {
+        auto began = Clock::now();
+        std::vector<double> kept;
+        for (const double each : times) kept.push_back(each);
+        const double add = seconds_since(began);
+        began = Clock::now();
+        std::sort(kept.begin(), kept.end());
+        std::vector<double> got;
+        for (const double q : asked) got.push_back(kept[static_cast<std::size_t>(q * 999'999)]);
+        print("all samples, sorted", add, seconds_since(began), got, kept.capacity() * sizeof(double));
+    }
+    for (const double error : {0.01, 0.001}) {
+        auto began = Clock::now();
+        QuantileSketch sketch(error, 100'000);
+        for (const double each : times) sketch.add(each);
+        const double add = seconds_since(began);
+        began = Clock::now();
+        std::vector<double> got;
+        for (const double q : asked) got.push_back(sketch.quantile(q));
+        print(error == 0.01 ? "sketch, 1%" : "sketch, 0.1%", add, seconds_since(began), got,
+              sketch.buckets() * 8);
+    }
+    {
+        namespace bh = boost::histogram;
+        auto began = Clock::now();
+        // Its logarithmic axis needs its bounds beforehand: 0.001 ms to 1,000,000 ms, 1% wide.
+        auto histogram =
+            bh::make_histogram(bh::axis::regular<double, bh::axis::transform::log>(1'036, 0.001, 1'000'000));
+        for (const double each : times) histogram(each);
+        const double add = seconds_since(began);
+        began = Clock::now();
+        std::vector<double> got;
+        for (const double q : asked) {
+            double seen = 0;
+            for (const auto& cell : bh::indexed(histogram)) {
+                seen += *cell;
+                if (seen > q * 999'999) {
+                    got.push_back((cell.bin().lower() + cell.bin().upper()) / 2);
+                    break;
+                }
+            }
+        }
+        print("boost::histogram, log axis", add, seconds_since(began), got, histogram.size() * 8);
+    }
+}
+
+}  // namespace
+
+int main() {
+    measure_wheel();
+    measure_sketch();
+}
--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -100,6 +100,10 @@
         const auto taken = 1 + static_cast<double>(multiget.weights.size());
         nodes_[node].taken.emplace_back(at, taken);
         nodes_[node].taken_sum += taken;
+    } else if (what == "same") {
+        std::uint64_t number = 0;
+        words >> number;
+        first_tries_[number] = after<std::uint64_t>(words);
     } else if (what == "send") {
         take_send(at, words);
     } else if (what == "reach") {
@@ -217,7 +221,8 @@
     }
     const auto& kind = kinds_[found->second.kind];
     if (kind.repeat == "retriable") return;
-    auto& runs = runs_[part];
+    const auto first = first_tries_.find(part.first);
+    auto& runs = runs_[{first == first_tries_.end() ? part.first : first->second, part.second}];
     const bool twice = !runs.empty() && (kind.repeat == "non-retriable" || at > runs.front() + kind.window);
     runs.push_back(at);
     if (twice) {
--- a/src/lab/checker.hpp
+++ b/src/lab/checker.hpp
@@ -6,6 +6,7 @@
 //   world cold_from C warm_after W fall F tip T rate R floor B ratio Q look_back L stop S grace G
 //   kind K repeat retriable|deduped|non-retriable least L window W
 //   ask M node N kind K until U parts s:weight s:weight ...
+//   same M as M2 (M2 is the first try of what M asks for again)
 //   send M.s node N server V number I        reach M.s server V        run M.s server V
 //   back M.s returned|...                    answer M whole|part shards s s ...
 //   push M    fail M    gone M (its connection ended with its node)
@@ -76,7 +77,8 @@
     Time warm_after_ = 0, tip_ = 0, look_back_ = 0, stop_ = 0, grace_ = 0, last_ = 0;
     std::map<int, Kind> kinds_;
     std::map<std::uint64_t, Multiget> multigets_;
-    std::map<std::pair<std::uint64_t, int>, std::vector<Time>> runs_;
+    std::map<std::uint64_t, std::uint64_t> first_tries_;
+    std::map<std::pair<std::uint64_t, int>, std::vector<Time>> runs_;  // by the first try
     std::map<int, Node> nodes_;
     std::map<int, Cold> cold_;
     std::vector<Breach> found_;
--- a/src/lab/policy.hpp
+++ b/src/lab/policy.hpp
@@ -12,11 +12,21 @@
 
 namespace pinedoor::lab {
 
-enum class PolicyKind { kPinedoor, kRandom, kRoundRobin, kFewestOut, kTwoChoices, kSmoothedTime };
+enum class PolicyKind { kPinedoor, kRandom, kRoundRobin, kFewestOut, kTwoChoices, kSmoothedTime, kSeesAll };
 std::optional<PolicyKind> policy_named(std::string_view name);
 std::string_view name_of(PolicyKind kind);
 const std::vector<std::string>& policy_names();
 
+// What is true of the world now; for the policy that sees all.
+class Truth {
+public:
+    virtual ~Truth() = default;
+    static constexpr Time kNever = INT64_MAX;
+    // How long a part sent there now will take until its answer is back, as is to be expected; kNever: it
+    // would fail.
+    virtual Time completes(int node, ServerId server) const = 0;
+};
+
 struct NodeTerms {  // what a FrontNode is told at its start
     std::uint64_t seed = 0;
     NodePlace place;
@@ -26,6 +36,7 @@
     FurtherSendTerms further;
     ColdTerms cold;
     ClientTerms clients;
+    const Truth* truth = nullptr;
 };
 
 class Policy {
