--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -1,5 +1,6 @@
 #include "lab/checker.hpp"
 
+#include <algorithm>
 #include <sstream>
 
 namespace pinedoor::lab {
@@ -45,6 +46,11 @@
     if (++counts_[rule] <= kMostOfOne) found_.push_back({rule, std::to_string(at) + ": " + what});
 }
 
+void RuleChecker::see(Rule rule, double seen, double allowed) {
+    auto& nearest = near_[rule];
+    nearest = std::max(nearest, allowed > 0 ? seen / allowed : seen > 0 ? 2.0 : 0.0);
+}
+
 RuleChecker::Multiget* RuleChecker::open(Time at, std::uint64_t number, const std::string& doing) {
     const auto found = multigets_.find(number);
     const auto name = "multiget " + std::to_string(number);
@@ -58,6 +64,8 @@
         return nullptr;
     }
     multiget.over = true;
+    see(Rule::kNoneLost, static_cast<double>(std::max<Time>(0, at - multiget.until)),
+        static_cast<double>(grace_));
     if (at > multiget.until + grace_) breach(Rule::kNoneLost, at, name + " " + doing + " after its time");
     return &multiget;
 }
@@ -167,6 +175,8 @@
     const int server = after<int>(words);
     const int which = after<int>(words);
     const auto name = "a part of multiget " + std::to_string(number);
+    if (const auto gone = node.gone.find(server); gone != node.gone.end())
+        see(Rule::kDrainsKept, static_cast<double>(at - gone->second), static_cast<double>(stop_));
     if (const auto gone = node.gone.find(server); gone != node.gone.end() && at > gone->second + stop_) {
         breach(Rule::kDrainsKept, at,
                name + " is sent to server " + std::to_string(server) + ", told gone at " +
@@ -179,6 +189,7 @@
         node.taken_sum -= node.taken.front().second;
         node.taken.pop_front();
     }
+    see(Rule::kBudget, static_cast<double>(node.further.size()), floor_ + ratio_ * node.taken_sum);
     if (static_cast<double>(node.further.size()) > floor_ + ratio_ * node.taken_sum + 1e-9) {
         breach(Rule::kBudget, at,
                name + " is sent again as number " + std::to_string(node.further.size()) +
@@ -204,6 +215,7 @@
     const double warmth =
         cold_from_ + (1 - cold_from_) * static_cast<double>(age) / static_cast<double>(warm_after_);
     const double limit = fall_ * warmth * rate_ * static_cast<double>(tip_);
+    see(Rule::kNoColdServerOver, static_cast<double>(cold.reached.size()), limit + 1);
     if (static_cast<double>(cold.reached.size()) > limit + 1) {
         breach(Rule::kNoColdServerOver, at,
                "cold server " + std::to_string(server) + " was sent " + std::to_string(cold.reached.size()) +
--- a/src/lab/checker.hpp
+++ b/src/lab/checker.hpp
@@ -40,6 +40,13 @@
 public:
     void take(const std::string& line);
     std::vector<Breach> finish();  // the first hundred of each rule
+    // How near the run came to breaking a rule that has a measure: what was seen of what is allowed, so above
+    // 1 is broken. Further sends of their budget, parts of what a cold server bears, sends after a server was
+    // told gone of the time for that, ends after their time of the grace.
+    double nearest(Breach::Rule rule) const {
+        const auto found = near_.find(rule);
+        return found == near_.end() ? 0 : found->second;
+    }
 
 private:
     using Time = std::int64_t;
@@ -67,6 +74,7 @@
     };
 
     void breach(Breach::Rule rule, Time at, const std::string& what);
+    void see(Breach::Rule rule, double seen, double allowed);
     Multiget* open(Time at, std::uint64_t number, const std::string& doing);
     void take_answer(Time at, std::istringstream& words);
     void take_send(Time at, std::istringstream& words);
@@ -83,6 +91,7 @@
     std::map<int, Cold> cold_;
     std::vector<Breach> found_;
     std::map<Breach::Rule, int> counts_;
+    std::map<Breach::Rule, double> near_;
 };
 
 }  // namespace pinedoor::lab
--- /dev/null
+++ b/src/lab/commands.cpp
@@ -0,0 +1,455 @@
+#include "lab/commands.hpp"
+
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <thread>
+
+#include "lab/checker.hpp"
+#include "lab/compare.hpp"
+#include "lab/experiment.hpp"
+#include "lab/hunt.hpp"
+#include "lab/report.hpp"
+#include "lab/simulation.hpp"
+#include "lab/timeline.hpp"
+#include "stated/stated.hpp"
+
+namespace pinedoor::lab {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Number = unsigned long long;
+
+double seconds_since(Clock::time_point began) {
+    return std::chrono::duration<double>(Clock::now() - began).count();
+}
+
+// Set by SIGINT for as long as it lives; a second SIGINT ends the program as usual.
+class Stop {
+public:
+    Stop() {
+        flag() = false;
+        struct sigaction action {};
+        action.sa_handler = [](int) { flag() = true; };
+        action.sa_flags = static_cast<int>(SA_RESETHAND);
+        sigaction(SIGINT, &action, &before_);
+    }
+    ~Stop() { sigaction(SIGINT, &before_, nullptr); }
+    Stop(const Stop&) = delete;
+    Stop& operator=(const Stop&) = delete;
+    static std::atomic<bool>& flag() {
+        static std::atomic<bool> kFlag = false;
+        return kFlag;
+    }
+
+private:
+    struct sigaction before_ {};
+};
+
+class Bar {  // of progress, where somebody looks at it
+public:
+    explicit Bar(const char* what) : what_(what), shown_(isatty(2) != 0) {}
+    ~Bar() {
+        if (shown_) std::fprintf(stderr, "\r\033[K");
+    }
+    void show(std::size_t done, std::size_t of, const std::string& more = "") const {
+        if (!shown_ || of == 0) return;
+        constexpr std::size_t kWide = 40;
+        const auto filled = done * kWide / of;
+        std::fprintf(stderr, "\r\033[K%s [%s%s] %zu of %zu %s", what_, std::string(filled, '#').c_str(),
+                     std::string(kWide - filled, ' ').c_str(), done, of, more.c_str());
+    }
+
+private:
+    const char* what_;
+    const bool shown_;
+};
+
+unsigned threads_or_all(unsigned threads) {
+    return threads > 0 ? threads : std::max(1U, std::thread::hardware_concurrency());
+}
+
+void print_breaches(const std::vector<Breach>& found) {
+    for (const auto& each : found) std::printf("  %s: %s\n", name_of(each.rule).c_str(), each.what.c_str());
+    if (found.empty()) std::printf("  no rule broken\n");
+}
+
+bool is_world(const std::string& path) { return path.ends_with(".toml"); }
+
+// A log, made if the path is a world's.
+struct Log {
+    Log(const std::string& from, std::optional<std::uint64_t> seed, PolicyKind policy) : path(from) {
+        if (!is_world(from)) {
+            if (!std::filesystem::exists(from))
+                throw stated::BadStated(from + ": cannot be read; name a world or a log");
+            return;
+        }
+        auto world = World::read_file(from);
+        if (seed) world.seed = *seed;
+        toml = world.to_toml();
+        path = (std::getenv("TMPDIR") != nullptr ? std::getenv("TMPDIR") : "/tmp");
+        path += "/pinedoor-log-XXXXXX";
+        const int fd = mkstemp(path.data());
+        if (fd < 0) throw stated::BadStated(path + ": cannot be written");
+        close(fd);
+        own = true;
+        std::ofstream log(path, std::ios::binary);
+        const auto totals =
+            Simulation(world, policy, [&log](const std::string& line) { log << line << '\n'; }).run();
+        if (!log.flush()) throw stated::BadStated(path + ": cannot be written; is the disk full?");
+        char text[200];
+        std::snprintf(text, sizeof text, "seed %llu, %s: service %.4f", static_cast<Number>(world.seed),
+                      std::string(name_of(policy)).c_str(), totals.service());
+        told = text;
+        name = world.name;
+    }
+    ~Log() {
+        if (own) std::filesystem::remove(path);
+    }
+    Log(const Log&) = delete;
+    Log& operator=(const Log&) = delete;
+
+    Timeline read() const {
+        Timeline timeline;
+        std::ifstream log(path, std::ios::binary);
+        for (std::string line; std::getline(log, line);) timeline.take(line);
+        timeline.finish();
+        return timeline;
+    }
+
+    std::string path, toml, told, name;
+    bool own = false;
+};
+
+}  // namespace
+
+int run_world(const World& world, PolicyKind policy, const RunWords& words) {
+    std::ofstream log;
+    if (!words.log.empty()) {
+        log.open(words.log, std::ios::binary);
+        if (!log) throw stated::BadStated(words.log + ": cannot be written");
+    }
+    std::function<void(const std::string&)> say;
+    RuleChecker checker;
+    if (log.is_open() || words.check) {
+        say = [&](const std::string& line) {
+            if (log.is_open()) log << line << '\n';
+            if (words.check) checker.take(line);
+        };
+    }
+    const auto began = Clock::now();
+    Simulation simulation(world, policy, say);
+    const auto totals = simulation.run();
+    const double took = seconds_since(began);
+    if (log.is_open() && !log.flush())
+        throw stated::BadStated(words.log + ": cannot be written; is the disk full?");
+    if (words.json) {
+        std::printf("%s\n", totals.to_json().c_str());
+        return totals.broken() > 0 ? kBroken : kDone;
+    }
+    std::printf("%s, seed %llu, %s: service %.4f\n", world.name.c_str(), static_cast<Number>(world.seed),
+                std::string(name_of(policy)).c_str(), totals.service());
+    std::printf("  %-16s %9s %9s %8s %8s %8s %8s %8s %6s %8s %8s %8s\n", "clients", "asked", "whole",
+                "in part", "late", "pushed", "failed", "left", "lost", "p50 ms", "p99 ms", "service");
+    for (const auto& each : totals.clients) {
+        std::printf("  %-16s %9llu %9llu %8llu %8llu %8llu %8llu %8llu %6llu %8.2f %8.2f %8.4f\n",
+                    each.name.c_str(), static_cast<Number>(each.asked), static_cast<Number>(each.whole),
+                    static_cast<Number>(each.in_part), static_cast<Number>(each.late),
+                    static_cast<Number>(each.pushed_back), static_cast<Number>(each.failed),
+                    static_cast<Number>(each.left), static_cast<Number>(each.lost), each.ms.quantile(0.5),
+                    each.ms.quantile(0.99), each.possible > 0 ? each.earned / each.possible : 0);
+    }
+    std::printf(
+        "  sends %llu, parts run %llu, run twice %llu; %llu events in %.2f s, %.0f times real time; %.0f%% "
+        "of "
+        "it in the module, %.1f us a turn\n",
+        static_cast<Number>(totals.sends), static_cast<Number>(totals.run),
+        static_cast<Number>(totals.run_twice), static_cast<Number>(totals.events), took,
+        static_cast<double>(world.length) / 1e4 / took, 100 * totals.turns_seconds / took,
+        totals.turns > 0 ? totals.turns_seconds / static_cast<double>(totals.turns) * 1e6 : 0);
+    if (words.check) {
+        const auto found = checker.finish();
+        print_breaches(found);
+        if (!found.empty()) return kBroken;
+    }
+    return totals.broken() > 0 ? kBroken : kDone;
+}
+
+int judge_log(const std::string& path) {
+    std::ifstream log(path, std::ios::binary);
+    if (!log) throw stated::BadStated(path + ": cannot be read; name a log that exists");
+    RuleChecker checker;
+    for (std::string line; std::getline(log, line);) checker.take(line);
+    const auto found = checker.finish();
+    print_breaches(found);
+    return found.empty() ? kDone : kBroken;
+}
+
+int compare_variants(const CompareWords& words) {
+    Experiment experiment;
+    for (const auto& path : words.worlds) experiment.worlds.push_back({path, World::read_file(path)});
+    for (const auto& text : words.variants) experiment.variants.push_back(Variant::read(text));
+    for (const auto& world : experiment.worlds) {  // a mistake in a change is told before anything is played
+        for (const auto& variant : experiment.variants)
+            World::from_text(world.world.to_toml(), world.path, variant.changes);
+    }
+    experiment.seeds = words.seeds;
+    std::optional<Results> results;
+    if (!words.results.empty()) results.emplace(words.results, build_of_this_program());
+    Outcomes outcomes;
+    std::size_t found = 0;
+    {
+        const Stop stop;
+        const Bar bar("playing");
+        outcomes = play_all(experiment, results ? &*results : nullptr, threads_or_all(words.threads),
+                            Stop::flag(), [&](const Progress& progress) {
+                                found = progress.found;
+                                bar.show(progress.done, progress.of);
+                            });
+    }
+    if (!outcomes.whole) {
+        std::fprintf(
+            stderr, "pinedoor-lab: stopped%s\n",
+            results ? "; the same command goes on from here" : "; with --results it could go on from here");
+        return kStopped;
+    }
+    std::uint64_t broken = 0;
+    for (std::size_t w = 0; w < experiment.worlds.size(); ++w) {
+        const auto& world = experiment.worlds[w].world;
+        std::printf("%s, %d seeds from %llu; against %s\n", world.name.c_str(), words.seeds,
+                    static_cast<Number>(world.seed), experiment.variants[0].name.c_str());
+        std::size_t wide = 14;
+        for (const auto& variant : experiment.variants) wide = std::max(wide, variant.name.size());
+        std::printf("  %-*s %8s %9s %20s %6s\n", static_cast<int>(wide), "variant", "service", "less",
+                    "95% of it", "broken");
+        for (std::size_t v = 0; v < experiment.variants.size(); ++v) {
+            const auto& service = outcomes.service[w][v];
+            double sum = 0;
+            for (const double each : service) sum += each;
+            const auto differs = compare(outcomes.service[w][0], service, 0.95, world.seed);
+            broken += outcomes.broken[w][v];
+            std::printf("  %-*s %8.4f %+9.4f  %+8.4f to %+8.4f %6llu%s\n", static_cast<int>(wide),
+                        experiment.variants[v].name.c_str(), sum / words.seeds, differs.mean, differs.least,
+                        differs.most, static_cast<Number>(outcomes.broken[w][v]),
+                        v > 0 && !differs.shown() ? "  no difference shown" : "");
+        }
+    }
+    if (found > 0) std::printf("%zu runs were kept by an earlier run\n", found);
+    return broken > 0 ? kBroken : kDone;
+}
+
+namespace {
+
+// How bad a world is, over seeds; the larger the worse.
+double badness(const World& world, const HuntWords& words) {
+    double sum = 0;
+    for (int i = 0; i < words.seeds; ++i) {
+        auto mine = world;
+        mine.seed = world.seed + static_cast<std::uint64_t>(i);
+        if (words.goal == "rule") {
+            RuleChecker checker;
+            Simulation(mine, PolicyKind::kPinedoor, [&checker](const std::string& line) {
+                checker.take(line);
+            }).run();
+            const auto found = checker.finish();
+            double nearest = static_cast<double>(found.size());
+            for (const auto rule : {Breach::Rule::kNoneLost, Breach::Rule::kDrainsKept,
+                                    Breach::Rule::kNoColdServerOver, Breach::Rule::kBudget})
+                nearest = std::max(nearest, checker.nearest(rule));
+            sum += nearest;
+            continue;
+        }
+        const auto totals = Simulation(mine).run();
+        const double best = words.goal == "gap" ? Simulation(mine, PolicyKind::kSeesAll).run().service() : 1;
+        sum += best - totals.service() + static_cast<double>(totals.broken());
+    }
+    return sum / words.seeds;
+}
+
+std::string in_words(const Trouble& trouble) {
+    char text[200];
+    std::snprintf(text, sizeof text, "%s %.1f-%.1f s, share %.2f, factor %.2f%s",
+                  name_of(trouble.kind).c_str(), static_cast<double>(trouble.from) / 1e4,
+                  static_cast<double>(trouble.until) / 1e4, trouble.share, trouble.factor,
+                  trouble.zone >= 0 ? (", zone " + std::to_string(trouble.zone)).c_str() : "");
+    return text;
+}
+
+}  // namespace
+
+int hunt(const World& base, const HuntWords& words) {
+    const Stop stop;
+    Hunter hunter(base, base.seed, words.most);
+    const auto threads = threads_or_all(words.threads);
+    const auto play_some = [&](const std::vector<World>& worlds) {
+        std::vector<double> bad(worlds.size(), 0);
+        on_threads(worlds.size(), threads, Stop::flag(),
+                   [&](std::size_t i) { bad[i] = badness(worlds[i], words); });
+        return bad;
+    };
+    std::printf("hunting for %s in %s: %d rounds of %d worlds, %d seeds each\n", words.goal.c_str(),
+                base.name.c_str(), words.rounds, words.each, words.seeds);
+    for (int round = 0; round < words.rounds && !Stop::flag(); ++round) {
+        const auto bad = play_some(hunter.next(static_cast<std::size_t>(words.each)));
+        if (Stop::flag()) break;
+        const double before = hunter.found() ? hunter.how_bad() : -1;
+        hunter.told(bad);
+        if (hunter.how_bad() <= before) continue;
+        std::printf("round %d: %.4f\n", round + 1, hunter.how_bad());
+        for (const auto& each : hunter.worst().troubles) std::printf("    %s\n", in_words(each).c_str());
+        std::fflush(stdout);
+    }
+    if (!hunter.found()) return kStopped;
+    auto smallest = hunter.worst();
+    const double least = hunter.how_bad() * words.keep;
+    double now = hunter.how_bad();
+    for (bool smaller = true; smaller && !Stop::flag();) {  // the first that still shows it, in their order
+        smaller = false;
+        const auto tries = reductions(smallest);
+        for (std::size_t from = 0; from < tries.size() && !smaller; from += threads) {
+            const std::vector<World> some(
+                tries.begin() + static_cast<std::ptrdiff_t>(from),
+                tries.begin() + static_cast<std::ptrdiff_t>(std::min(tries.size(), from + threads)));
+            const auto bad = play_some(some);
+            if (Stop::flag()) break;
+            for (std::size_t i = 0; i < some.size() && !smaller; ++i) {
+                if (bad[i] < least) continue;
+                smallest = some[i];
+                now = bad[i];
+                smaller = true;
+            }
+        }
+    }
+    std::printf("shrunk: %.4f with %d servers, %d nodes, %.1f s, %zu kinds of clients\n", now,
+                smallest.servers.count, smallest.nodes, static_cast<double>(smallest.length) / 1e4,
+                smallest.clients.size());
+    for (const auto& each : smallest.troubles) std::printf("    %s\n", in_words(each).c_str());
+    smallest.name = base.name + "-" + words.goal;
+    if (words.out.empty()) {
+        std::printf("%s", smallest.to_toml().c_str());
+    } else if (!(std::ofstream(words.out) << smallest.to_toml())) {
+        throw stated::BadStated(words.out + ": cannot be written");
+    }
+    return Stop::flag() ? kStopped : kDone;
+}
+
+int scale(const World& world, const std::string& what, const std::vector<double>& factors) {
+    std::printf("%s, %s times the factor\n", world.name.c_str(), what.c_str());
+    std::printf("  %8s %8s %9s %10s %10s %12s %12s %9s\n", "factor", "service", "asked", "sends", "CPU s",
+                "module us/req", "module us/turn", "MB");
+    std::vector<double> x, module, all;
+    for (const double factor : factors) {
+        auto scaled = world;
+        const auto times = [factor](int count) {
+            return std::max(1, static_cast<int>(std::lround(count * factor)));
+        };
+        if (what == "servers" || what == "fleet") {  // and what they bear
+            scaled.servers.count = times(world.servers.count);
+            scaled.shards = times(world.shards);
+            for (auto& each : scaled.clients) each.per_second *= factor;
+        }
+        if (what == "nodes" || what == "fleet") scaled.nodes = times(world.nodes);
+        if (what == "parts") {
+            for (auto& each : scaled.clients) {  // so many more parts, so many fewer requests
+                each.parts.a *= factor;
+                each.parts.b *= factor;
+                each.per_second /= factor;
+            }
+        }
+        struct Seen {
+            double service = 0, cpu = 0, module = 0, turns = 0, asked = 0, sends = 0, mb = 0;
+        } seen;
+        int ends[2];
+        if (pipe(ends) != 0) throw stated::BadStated("no pipe");
+        const pid_t child = fork();  // a process of its own, so its memory is its own
+        if (child == 0) {
+            const auto totals = Simulation(scaled).run();
+            rusage used{};
+            getrusage(RUSAGE_SELF, &used);
+            seen.service = totals.service();
+            seen.cpu =
+                static_cast<double>(used.ru_utime.tv_sec) + static_cast<double>(used.ru_utime.tv_usec) / 1e6;
+            seen.module = totals.turns_seconds;
+            seen.turns = static_cast<double>(totals.turns);
+            for (const auto& each : totals.clients) seen.asked += static_cast<double>(each.tries);
+            seen.sends = static_cast<double>(totals.sends);
+            seen.mb = static_cast<double>(used.ru_maxrss) / 1024;
+            const auto written = write(ends[1], &seen, sizeof seen);
+            _exit(written == sizeof seen ? 0 : 1);
+        }
+        close(ends[1]);
+        const auto got = read(ends[0], &seen, sizeof seen);
+        close(ends[0]);
+        int status = 0;
+        waitpid(child, &status, 0);
+        if (got != sizeof seen || status != 0) throw stated::BadStated("a run ended without its figures");
+        std::printf("  %8.2f %8.4f %9.0f %10.0f %10.2f %13.1f %14.2f %9.0f\n", factor, seen.service,
+                    seen.asked, seen.sends, seen.cpu, seen.module / std::max(1.0, seen.asked) * 1e6,
+                    seen.module / std::max(1.0, seen.turns) * 1e6, seen.mb);
+        std::fflush(stdout);
+        x.push_back(std::log(factor));
+        module.push_back(std::log(std::max(1e-9, seen.module / std::max(1.0, seen.asked))));
+        all.push_back(std::log(std::max(1e-9, seen.cpu / std::max(1.0, seen.asked))));
+    }
+    if (x.size() < 2) return kDone;
+    const auto slope = [&x](const std::vector<double>& y) {  // least squares
+        double mean_x = 0, mean_y = 0, above = 0, below = 0;
+        for (std::size_t i = 0; i < x.size(); ++i) {
+            mean_x += x[i] / static_cast<double>(x.size());
+            mean_y += y[i] / static_cast<double>(x.size());
+        }
+        for (std::size_t i = 0; i < x.size(); ++i) {
+            above += (x[i] - mean_x) * (y[i] - mean_y);
+            below += (x[i] - mean_x) * (x[i] - mean_x);
+        }
+        return below > 0 ? above / below : 0;
+    };
+    std::printf("  time a request grows as the factor to the power of %.2f in the module, %.2f in all\n",
+                slope(module), slope(all));
+    return kDone;
+}
+
+int replay(const std::string& path, std::optional<std::uint64_t> multiget,
+           std::optional<std::uint64_t> seed) {
+    const Log log(path, seed, PolicyKind::kPinedoor);
+    if (!multiget) {
+        const auto worst = log.read().worst(1);
+        if (worst.empty()) {
+            std::printf("every multiget was answered in time; name one by its number\n");
+            return kDone;
+        }
+        multiget = worst[0].multiget;
+        std::printf("of those that went worst, number %llu: %s after %.1f ms\n",
+                    static_cast<Number>(*multiget), worst[0].end.c_str(),
+                    static_cast<double>(worst[0].took) / 10);
+    }
+    const auto life = life_of(log.path, *multiget);
+    if (life.empty()) throw stated::BadStated("there is no multiget " + std::to_string(*multiget) + " in it");
+    for (const auto& line : life) std::printf("%s\n", line.c_str());
+    return kDone;
+}
+
+int report(const std::string& path, std::optional<std::uint64_t> seed, PolicyKind policy,
+           const std::string& out, const std::string& plots) {
+    const Log log(path, seed, policy);
+    const auto timeline = log.read();
+    if (!plots.empty()) write_plots(timeline, plots);
+    const auto page = report_page(timeline, {log.name.empty() ? path : log.name, log.toml, log.told});
+    std::ofstream file(out, std::ios::binary);
+    if (!(file << page) || !file.flush()) throw stated::BadStated(out + ": cannot be written");
+    std::printf("%s\n", out.c_str());
+    return kDone;
+}
+
+}  // namespace pinedoor::lab
--- /dev/null
+++ b/src/lab/commands.hpp
@@ -0,0 +1,49 @@
+// What pinedoor-lab's words do; main.cpp reads the words. Each returns the exit code and throws
+// std::exception with words for a person where a file cannot be used.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/variant.hpp"
+#include "lab/world.hpp"
+
+namespace pinedoor::lab {
+
+inline constexpr int kDone = 0;
+inline constexpr int kBroken = 3;     // a rule was broken
+inline constexpr int kStopped = 130;  // by SIGINT; what was kept stays kept
+
+struct RunWords {
+    std::string log;  // a file; empty: none
+    bool check = false, json = false;
+};
+int run_world(const World& world, PolicyKind policy, const RunWords& words);
+int judge_log(const std::string& path);
+
+struct CompareWords {
+    std::vector<std::string> worlds, variants;  // the first variant is what the others are compared with
+    int seeds = 10;
+    unsigned threads = 0;  // 0: one a core
+    std::string results;   // a file; empty: nothing is kept
+};
+int compare_variants(const CompareWords& words);
+
+struct HuntWords {
+    std::string goal = "loss";  // loss, gap (to who sees all), rule (nearness to a broken one)
+    int rounds = 12, each = 16, seeds = 2, most = 4;
+    unsigned threads = 0;
+    double keep = 0.8;  // of what was found, in the shrunk world
+    std::string out;    // a world's file; empty: printed
+};
+int hunt(const World& base, const HuntWords& words);
+
+int scale(const World& world, const std::string& what, const std::vector<double>& factors);
+// `path`: a world's TOML or a log. Without a multiget: one of those that went worst.
+int replay(const std::string& path, std::optional<std::uint64_t> multiget, std::optional<std::uint64_t> seed);
+int report(const std::string& path, std::optional<std::uint64_t> seed, PolicyKind policy,
+           const std::string& out, const std::string& plots);
+
+}  // namespace pinedoor::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,166 +1,214 @@
 // pinedoor-lab: worlds of emulated servers and clients, and what the front node makes of them.
 #include <CLI/CLI.hpp>
-#include <algorithm>
-#include <atomic>
-#include <chrono>
 #include <cstdio>
 #include <fstream>
-#include <mutex>
-#include <thread>
 
-#include "lab/checker.hpp"
-#include "lab/compare.hpp"
-#include "lab/simulation.hpp"
+#include "lab/commands.hpp"
 #include "stated/stated.hpp"
 
 namespace {
 
 using namespace pinedoor::lab;
 
-int run(const World& world, PolicyKind policy, const std::string& log_path, bool check) {
-    std::ofstream log;
-    if (!log_path.empty()) {
-        log.open(log_path, std::ios::binary);
-        if (!log) throw pinedoor::stated::BadStated(log_path + ": cannot be written");
-    }
-    const auto began = std::chrono::steady_clock::now();
-    std::function<void(const std::string&)> say;
-    RuleChecker checker;
-    if (log.is_open() || check) {
-        say = [&](const std::string& line) {
-            if (log.is_open()) log << line << '\n';
-            if (check) checker.take(line);
-        };
-    }
-    Simulation simulation(world, policy, say);
-    auto totals = simulation.run();
-    const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
-    std::printf("%s, seed %llu, %s: service %.4f\n", world.name.c_str(),
-                static_cast<unsigned long long>(world.seed), std::string(name_of(policy)).c_str(),
-                totals.service());
-    std::printf("  %-16s %9s %9s %8s %8s %8s %8s %6s %8s %8s %8s\n", "clients", "asked", "whole", "in part",
-                "late", "pushed", "failed", "lost", "p50 ms", "p99 ms", "service");
-    for (auto& each : totals.clients) {
-        std::printf("  %-16s %9llu %9llu %8llu %8llu %8llu %8llu %6llu %8.2f %8.2f %8.4f\n",
-                    each.name.c_str(), static_cast<unsigned long long>(each.asked),
-                    static_cast<unsigned long long>(each.whole),
-                    static_cast<unsigned long long>(each.in_part), static_cast<unsigned long long>(each.late),
-                    static_cast<unsigned long long>(each.pushed_back),
-                    static_cast<unsigned long long>(each.failed), static_cast<unsigned long long>(each.lost),
-                    each.ms.quantile(0.5), each.ms.quantile(0.99),
-                    each.possible > 0 ? each.earned / each.possible : 0);
+constexpr int kCannot = 1;
+constexpr int kNotUnderstood = 2;
+
+World::Changes read_changes(const std::vector<std::string>& words) {
+    World::Changes changes;
+    for (const auto& word : words) {
+        const auto equal = word.find('=');
+        if (equal == std::string::npos)
+            throw pinedoor::stated::BadStated("--set " + word +
+                                              ": write key=value, such as servers.count=24");
+        changes.emplace_back(word.substr(0, equal), word.substr(equal + 1));
     }
-    std::printf("  sends %llu, parts run %llu, run twice %llu; %llu events in %.2f s, %.0f times real time\n",
-                static_cast<unsigned long long>(totals.sends), static_cast<unsigned long long>(totals.run),
-                static_cast<unsigned long long>(totals.run_twice),
-                static_cast<unsigned long long>(totals.events), took,
-                static_cast<double>(world.length) / 1e4 / took);
-    if (!check) return 0;
-    const auto found = checker.finish();
-    for (const auto& each : found) std::printf("  %s: %s\n", name_of(each.rule).c_str(), each.what.c_str());
-    if (found.empty()) std::printf("  no rule broken\n");
-    return found.empty() ? 0 : 3;
+    return changes;
 }
 
-int judge(const std::string& path) {
-    std::ifstream log(path, std::ios::binary);
-    if (!log) throw pinedoor::stated::BadStated(path + ": cannot be read; name a log that exists");
-    RuleChecker checker;
-    for (std::string line; std::getline(log, line);) checker.take(line);
-    const auto found = checker.finish();
-    for (const auto& each : found) std::printf("%s: %s\n", name_of(each.rule).c_str(), each.what.c_str());
-    if (found.empty()) std::printf("no rule broken\n");
-    return found.empty() ? 0 : 3;
-}
+class Words {
+public:
+    explicit Words(CLI::App& app) {
+        app.require_subcommand(1);
+        app.footer(
+            "Examples:\n"
+            "  pinedoor-lab run lab/worlds/hall.toml --check\n"
+            "  pinedoor-lab compare lab/worlds/evening.toml --seeds 20 --results lab.db\n"
+            "  pinedoor-lab compare lab/worlds/*.toml --variants pinedoor pinedoor,sends.most=2 sees-all\n"
+            "  pinedoor-lab sweep lab/worlds/evening.toml servers.queue 4 16 64\n"
+            "  pinedoor-lab hunt lab/worlds/evening.toml --for gap --out worst.toml\n"
+            "  pinedoor-lab report worst.toml --out worst.html\n"
+            "  pinedoor-lab replay worst.toml\n\n"
+            "Exit codes: 0 done; 1 a file cannot be used; 2 the words are not understood; 3 a rule was "
+            "broken; 130 "
+            "stopped by SIGINT.");
+        add_run(app);
+        add_compare(app);
+        add_hunt(app);
+        add_scale(app);
+        add_reports(app);
+        add_worlds(app);
+    }
+    int code() const { return code_; }
+
+private:
+    std::optional<std::uint64_t> seed() const {
+        return seed_ < 0 ? std::nullopt : std::optional<std::uint64_t>(seed_);
+    }
+    World world() const {
+        auto world = World::read_file(path_, read_changes(changes_));
+        if (seed()) world.seed = *seed();
+        return world;
+    }
+    void add_world(CLI::App* to) {
+        to->add_option("world", path_, "A world's TOML")->required();
+        to->add_option("--seed", seed_, "Another seed than the file's")->check(CLI::NonNegativeNumber);
+        to->add_option("--set", changes_, "Change the world: servers.count=24, clients.0.per_second=500");
+    }
+    void add_policy(CLI::App* to) {
+        to->add_option("--policy", policy_, "Who decides")->check(CLI::IsMember(policy_names()));
+    }
+    void add_experiment(CLI::App* to) {
+        to->add_option("--seeds", compare_.seeds, "So many, from the world's own on")
+            ->check(CLI::Range(2, 10'000));
+        to->add_option("--threads", compare_.threads, "Runs at a time; 0: one a core");
+        to->add_option(
+            "--results", compare_.results,
+            "Keep what comes of each run in this SQLite file, and do not play again what it holds");
+    }
 
-// Every policy on the same seeds, on all cores; each against the first, with what the pairs show.
-int compare_all(const World& world, const std::vector<std::string>& names, int seeds) {
-    std::vector<std::vector<double>> service(names.size(),
-                                             std::vector<double>(static_cast<std::size_t>(seeds)));
-    std::vector<std::uint64_t> broken(names.size());
-    std::mutex mutex;
-    std::atomic<std::size_t> next = 0;
-    const auto all = names.size() * static_cast<std::size_t>(seeds);
-    std::vector<std::thread> threads;
-    for (unsigned i = 0; i < std::max(1U, std::thread::hardware_concurrency()); ++i) {
-        threads.emplace_back([&] {
-            for (auto job = next++; job < all; job = next++) {
-                const auto which = job / static_cast<std::size_t>(seeds);
-                const auto seed = job % static_cast<std::size_t>(seeds);
-                auto mine = world;
-                mine.seed = world.seed + seed;
-                const auto totals = Simulation(mine, *policy_named(names[which])).run();
-                const std::lock_guard lock(mutex);
-                service[which][seed] = totals.service();
-                broken[which] += totals.run_twice;
-                for (const auto& each : totals.clients) broken[which] += each.lost;
-            }
+    void add_run(CLI::App& app) {
+        auto* run = app.add_subcommand("run", "Play a world in simulated time and print what came of it");
+        add_world(run);
+        add_policy(run);
+        run->add_option("--log", run_.log, "Write what happens, a line each, to this file");
+        run->add_flag("--check", run_.check, "Check the six rules by the log; exit 3 if one is broken");
+        run->add_flag("--json", run_.json, "One JSON object");
+        run->callback([this] { code_ = run_world(world(), *policy_named(policy_), run_); });
+        auto* judge = app.add_subcommand("judge", "Check the six rules by a log that was written");
+        judge->add_option("log", path_, "The log of a run")->required();
+        judge->callback([this] { code_ = judge_log(path_); });
+    }
+    void add_compare(CLI::App& app) {
+        auto* compare =
+            app.add_subcommand("compare", "Play worlds under several variants, on the same seeds");
+        compare->add_option("worlds", compare_.worlds, "Worlds' TOML")->required();
+        compare->add_option(
+            "--variants,--policies", compare_.variants,
+            "POLICY[,KEY=VALUE...] or build:PROGRAM; the first is what the others are compared with");
+        add_experiment(compare);
+        compare->callback([this] {
+            if (compare_.variants.empty()) compare_.variants = policy_names();
+            code_ = compare_variants(compare_);
+        });
+        auto* sweep = app.add_subcommand("sweep", "One number of a world against service");
+        sweep->add_option("world", path_, "A world's TOML")->required();
+        sweep->add_option("key", key_, "Such as servers.queue or sends.most")->required();
+        sweep->add_option("values", values_, "The first is what the others are compared with")->required();
+        add_policy(sweep);
+        add_experiment(sweep);
+        sweep->callback([this] {
+            compare_.worlds = {path_};
+            for (const auto& value : values_) compare_.variants.push_back(policy_ + ',' + key_ + '=' + value);
+            code_ = compare_variants(compare_);
         });
     }
-    for (auto& thread : threads) thread.join();
-    std::printf("%s, %d seeds from %llu; against %s\n", world.name.c_str(), seeds,
-                static_cast<unsigned long long>(world.seed), names[0].c_str());
-    std::printf("  %-14s %8s %9s %20s %6s\n", "policy", "service", "less", "95% of it", "broken");
-    for (std::size_t i = 0; i < names.size(); ++i) {
-        const auto found = compare(service[0], service[i], 0.95, world.seed);
-        double sum = 0;
-        for (const double each : service[i]) sum += each;
-        std::printf("  %-14s %8.4f %+9.4f  %+8.4f to %+8.4f %6llu%s\n", names[i].c_str(), sum / seeds,
-                    found.mean, found.least, found.most, static_cast<unsigned long long>(broken[i]),
-                    i > 0 && !found.shown() ? "  no difference shown" : "");
+    void add_hunt(CLI::App& app) {
+        auto* hunt = app.add_subcommand("hunt", "Search troubles for the worst day, and shrink it");
+        add_world(hunt);
+        hunt->add_option("--for", hunt_.goal,
+                         "loss of service; gap to who sees all; rule: the day nearest to a broken one")
+            ->check(CLI::IsMember({"loss", "gap", "rule"}));
+        hunt->add_option("--rounds", hunt_.rounds)->capture_default_str()->check(CLI::Range(1, 100'000));
+        hunt->add_option("--each", hunt_.each, "Worlds a round")
+            ->capture_default_str()
+            ->check(CLI::Range(1, 10'000));
+        hunt->add_option("--seeds", hunt_.seeds, "For each world")
+            ->capture_default_str()
+            ->check(CLI::Range(1, 1'000));
+        hunt->add_option("--troubles", hunt_.most, "At most")
+            ->capture_default_str()
+            ->check(CLI::Range(1, 100));
+        hunt->add_option("--keep", hunt_.keep, "Of what was found, in the shrunk world")
+            ->capture_default_str()
+            ->check(CLI::Range(0.0, 1.0));
+        hunt->add_option("--threads", hunt_.threads, "Runs at a time; 0: one a core");
+        hunt->add_option("--out", hunt_.out, "Write the shrunk world here; else it is printed");
+        hunt->callback([this] { code_ = pinedoor::lab::hunt(world(), hunt_); });
     }
-    return 0;
-}
+    void add_scale(CLI::App& app) {
+        auto* scale = app.add_subcommand("scale", "Service, CPU and memory as a world grows");
+        add_world(scale);
+        scale->add_option("--what", what_, "servers (and requests), nodes, fleet (both), parts")
+            ->capture_default_str()
+            ->check(CLI::IsMember({"servers", "nodes", "fleet", "parts"}));
+        scale->add_option("--factors", factors_)->capture_default_str()->check(CLI::PositiveNumber);
+        scale->callback([this] { code_ = pinedoor::lab::scale(world(), what_, factors_); });
+    }
+    void add_reports(CLI::App& app) {
+        auto* replay = app.add_subcommand("replay", "One multiget's life, from a world or a log");
+        replay->add_option("path", path_, "A world's TOML or a log")->required();
+        replay->add_option("multiget", multiget_, "Its number; else one of those that went worst");
+        replay->add_option("--seed", seed_, "Another seed than the file's")->check(CLI::NonNegativeNumber);
+        replay->callback([this] {
+            code_ = pinedoor::lab::replay(
+                path_, multiget_ < 0 ? std::nullopt : std::optional<std::uint64_t>(multiget_), seed());
+        });
+        auto* report = app.add_subcommand("report", "A run as one HTML file, from a world or a log");
+        report->add_option("path", path_, "A world's TOML or a log")->required();
+        report->add_option("--seed", seed_, "Another seed than the file's")->check(CLI::NonNegativeNumber);
+        add_policy(report);
+        report->add_option("--out", out_)->capture_default_str();
+        report->add_option("--plots", plots_, "Write the plots into this folder too, as SVG and PNG");
+        report->callback(
+            [this] { code_ = pinedoor::lab::report(path_, seed(), *policy_named(policy_), out_, plots_); });
+    }
+    void add_worlds(CLI::App& app) {
+        auto* worlds = app.add_subcommand("world", "Worlds as files")->require_subcommand(1);
+        auto* check = worlds->add_subcommand("check", "Say whether a world can be used");
+        check->add_option("world", path_, "A world's TOML")->required();
+        check->callback([this] {
+            World::read_file(path_);
+            std::printf("%s: good\n", path_.c_str());
+        });
+        auto* show = worlds->add_subcommand("show", "Print a world with every key, defaults filled in");
+        add_world(show);
+        show->callback([this] { std::printf("%s", world().to_toml().c_str()); });
+        auto* made = worlds->add_subcommand("new", "Write a calm world to begin with");
+        made->add_option("file", path_, "It must not be there")->required();
+        made->add_option("--set", changes_, "Change it: servers.count=24");
+        made->callback([this] {
+            if (std::ifstream(path_))
+                throw pinedoor::stated::BadStated(path_ + ": is there already; name another file");
+            const auto changed =
+                World::from_text("name = \"new\"\n[[clients]]\n", path_, read_changes(changes_));
+            if (!(std::ofstream(path_) << changed.to_toml()))
+                throw pinedoor::stated::BadStated(path_ + ": cannot be written");
+            std::printf("%s\n", path_.c_str());
+        });
+    }
+
+    int code_ = kDone;
+    std::string path_, policy_ = "pinedoor", key_, what_ = "fleet", out_ = "report.html", plots_;
+    std::int64_t seed_ = -1, multiget_ = -1;
+    std::vector<std::string> changes_, values_;
+    std::vector<double> factors_{1, 2, 4, 8};
+    RunWords run_;
+    CompareWords compare_;
+    HuntWords hunt_;
+};
 
 }  // namespace
 
 int main(int count, char** words) {
     CLI::App app{"Worlds of emulated servers and clients, and what pinedoor makes of them", "pinedoor-lab"};
-    app.require_subcommand(1);
-    app.footer(
-        "Examples:\n  pinedoor-lab run lab/worlds/hall.toml\n  pinedoor-lab run lab/worlds/crash.toml --seed "
-        "7 --log run.log\n"
-        "  pinedoor-lab compare lab/worlds/evening.toml --seeds 20\n  pinedoor-lab world check "
-        "lab/worlds/hall.toml\n\nExit codes: 0 done; 1 a file cannot be used; 2 "
-        "the words "
-        "are not understood; 3 a rule was broken.");
-    std::string path, log;
-    std::uint64_t seed = 0;
-    auto* run_command = app.add_subcommand("run", "Play a world in simulated time and print what came of it");
-    run_command->add_option("world", path, "A world's TOML")->required();
-    auto* seeded = run_command->add_option("--seed", seed, "Another seed than the file's");
-    run_command->add_option("--log", log, "Write what happens, a line each, to this file");
-    std::string policy = "pinedoor";
-    run_command->add_option("--policy", policy, "Who decides")->check(CLI::IsMember(policy_names()));
-    bool rules = false;
-    run_command->add_flag("--check", rules, "Check the six rules by the log; exit 3 if one is broken");
-    auto* judged = app.add_subcommand("judge", "Check the six rules by a log that was written");
-    judged->add_option("log", log, "The log of a run")->required();
-    auto* compared = app.add_subcommand("compare", "Play a world under several policies, on the same seeds");
-    std::vector<std::string> policies = policy_names();
-    int seeds = 10;
-    compared->add_option("world", path, "A world's TOML")->required();
-    compared->add_option("--policies", policies, "The first is what the others are compared with")
-        ->check(CLI::IsMember(policy_names()));
-    compared->add_option("--seeds", seeds, "So many, from the world's own on")->check(CLI::Range(2, 10'000));
-    auto* worlds = app.add_subcommand("world", "Worlds as files")->require_subcommand(1);
-    auto* check = worlds->add_subcommand("check", "Say whether a world can be used");
-    check->add_option("world", path, "A world's TOML")->required();
+    Words read(app);
     try {
         app.parse(count, words);
-        if (judged->parsed()) return judge(log);
-        auto world = World::read_file(path);
-        if (check->parsed()) {
-            std::printf("%s: good\n", path.c_str());
-            return 0;
-        }
-        if (seeded->count() > 0) world.seed = seed;
-        if (compared->parsed()) return compare_all(world, policies, seeds);
-        return run(world, *policy_named(policy), log, rules);
+        return read.code();
     } catch (const CLI::ParseError& error) {
-        return app.exit(error) == 0 ? 0 : 2;
+        return app.exit(error) == 0 ? kDone : kNotUnderstood;
     } catch (const std::exception& error) {
         std::fprintf(stderr, "pinedoor-lab: %s\n", error.what());
-        return 1;
+        return kCannot;
     }
 }
--- /dev/null
+++ b/src/lab/report.hpp
@@ -0,0 +1,22 @@
+// A run as one HTML file that needs no network, and its plots by gnuplot.
+#pragma once
+
+#include <string>
+
+#include "lab/timeline.hpp"
+
+namespace pinedoor::lab {
+
+struct ReportWords {
+    std::string title;
+    std::string world_toml;  // empty: the log's maker is not known
+    std::string told;        // such as "seed 3, pinedoor: service 0.9998"
+};
+
+// The page. Throws stated::BadStated if gnuplot is missing or fails.
+std::string report_page(const Timeline& run, const ReportWords& words);
+// ends.svg, latency.svg, sends.svg, and the same as PNG, in a folder that is made if need be. Throws
+// likewise.
+void write_plots(const Timeline& run, const std::string& folder);
+
+}  // namespace pinedoor::lab
--- a/src/lab/simulation.cpp
+++ b/src/lab/simulation.cpp
@@ -531,10 +531,12 @@
 void Simulation::reach(std::uint32_t slot) {
     auto& out = sends_[slot];
     auto& server = *servers_[out.server];
-    if (!out.reached) --server.coming;
+    if (!out.reached) {
+        --server.coming;
+        if (log_) say("reach " + part_name(out.multiget) + " server " + std::to_string(out.server));
+    }
     out.server_era = server.era;
     out.reached = true;
-    if (log_) say("reach " + part_name(out.multiget) + " server " + std::to_string(out.server));
     if (server.vanished > 0) {
         // silence
     } else if (!server.up()) {
