Laboratory: draws, conditions and ends shared by simulated time and, next, sockets

The socket form needs the same requests, server conditions and accounting; they stood inside the simulation. They are now parts of their own (demand, condition, totals).

--- /dev/null
+++ b/src/lab/demand.hpp
@@ -0,0 +1,59 @@
+// What clients ask for, drawn the same way in simulated time and on sockets.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <vector>
+
+#include "lab/world.hpp"
+
+namespace pinedoor::lab {
+
+struct Request {  // of a client, over all its tries
+    std::uint32_t kind = 0;
+    Time first_asked = 0;
+    int tries_left = 0;
+    std::uint64_t effect = 0;  // names what must not happen twice: its first try
+    std::vector<PartArrival> parts;
+};
+
+inline Request draw_request(const World& world, std::uint32_t kind, Time now, Chance& chance) {
+    const auto& clients = world.clients[kind];
+    Request request{kind, now, clients.retries, 0, {}};
+    const auto places = static_cast<std::uint64_t>(world.places());
+    const auto count =
+        std::clamp<std::uint64_t>(static_cast<std::uint64_t>(clients.parts(chance) + 0.5), 1, places);
+    std::set<std::uint64_t> shards;
+    while (shards.size() < count) shards.insert(chance.below(places));
+    double sum = 0;
+    for (const auto shard : shards) {
+        PartArrival part;
+        part.shard = static_cast<int>(shard);
+        part.weight = clients.even ? 1 : 0.05 + chance.one();
+        sum += part.weight;
+        // The k-th key in proportion to 1/k: evenly in the logarithm.
+        if (clients.keys > 0)
+            part.key = static_cast<std::uint64_t>(std::exp(chance.one() * std::log(clients.keys + 1.0)));
+        request.parts.push_back(part);
+    }
+    for (auto& part : request.parts) part.weight /= sum;
+    return request;
+}
+
+// How many times as often as usual a kind of client asks now; `surge` by troubles.
+inline double busier(const ClientKind& clients, Time now, double surge) {
+    const bool burst = clients.burst_every > 0 && now % clients.burst_every < clients.burst_for;
+    return surge * (burst ? clients.burst_factor : 1);
+}
+
+// The most of that, ever: arrivals are drawn at this rate and thinned to that of now.
+inline double busiest(const World& world, const ClientKind& clients) {
+    double most = clients.burst_every > 0 ? std::max(1.0, clients.burst_factor) : 1;
+    for (const auto& trouble : world.troubles) {
+        if (trouble.kind == Trouble::Kind::kSurge) most *= std::max(1.0, trouble.factor);
+    }
+    return most;
+}
+
+}  // namespace pinedoor::lab
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -268,7 +268,8 @@
            "auto;padding:0 1em;color:#222}table{border-collapse:collapse;font-size:14px}td,th{padding:.2em "
            ".7em;text-align:right;border-bottom:1px solid "
            "#ddd;white-space:nowrap}td:first-child,th:first-child{text-align:left}"
-           ".wide{overflow-x:auto}svg{width:100%;min-width:640px;height:auto}pre{overflow-x:auto;background:#f5f5f5;padding:"
+           ".wide{overflow-x:auto}svg{width:100%;min-width:640px;height:auto}pre{overflow-x:auto;background:#"
+           "f5f5f5;padding:"
            "1em;font-size:13px}"
            "h2{margin-top:2em}</style>\n<h1>"
         << escaped(words.title) << "</h1><p>" << escaped(words.told) << "</p>\n";
@@ -290,7 +291,8 @@
     out << "<h2>Over time</h2>\n<p>Grey bands are troubles. Each second shows what became of the requests "
            "asked in "
            "it.</p>\n";
-    for (const auto& plot : plots) out << "<div class=wide>" << svg_of(folder.path + '/' + plot.name + ".svg") << "</div>\n";
+    for (const auto& plot : plots)
+        out << "<div class=wide>" << svg_of(folder.path + '/' + plot.name + ".svg") << "</div>\n";
     out << "<h2>Servers, as they were and as they were seen</h2>\n<p>A row is a server, a column a second. "
            "Red: sends "
            "there came to nothing good. A blue line: something was wrong with it in truth. A dot: a front "
--- a/src/lab/simulation.cpp
+++ b/src/lab/simulation.cpp
@@ -312,23 +312,14 @@
 
 // --- Clients ---
 
-double Simulation::busier(const ClientKind& clients) const {
-    const bool burst = clients.burst_every > 0 && now_ % clients.burst_every < clients.burst_for;
-    return surge_ * (burst ? clients.burst_factor : 1);
-}
-
-// Arrivals are drawn at the busiest rate there may be, and thinned to the rate of now.
 void Simulation::arrive(std::uint32_t kind) {
     const auto& clients = world_.clients[kind];
-    double busiest = clients.burst_every > 0 ? std::max(1.0, clients.burst_factor) : 1;
-    for (const auto& trouble : world_.troubles) {
-        if (trouble.kind == Trouble::Kind::kSurge) busiest *= std::max(1.0, trouble.factor);
-    }
-    const double wait = -std::log1p(-chance_.one()) / (clients.per_second * busiest) * kSecond;
+    const double most = busiest(world_, clients);
+    const double wait = -std::log1p(-chance_.one()) / (clients.per_second * most) * kSecond;
     if (now_ < world_.length)
         at(now_ + std::max<Time>(1, static_cast<Time>(wait + 0.5)), Kind::kArrival, kind);
     if (now_ == 0 || now_ >= world_.length) return;
-    if (busiest > 1 && chance_.one() >= busier(clients) / busiest) return;
+    if (most > 1 && chance_.one() >= busier(clients, now_, surge_) / most) return;
     std::uint32_t slot = 0;
     if (free_requests_.empty()) {
         slot = static_cast<std::uint32_t>(requests_.size());
@@ -337,28 +328,10 @@
         slot = free_requests_.back();
         free_requests_.pop_back();
     }
-    auto& request = requests_[slot];
-    request = {kind, now_, clients.retries, 0, {}};
+    requests_[slot] = draw_request(world_, kind, now_, chance_);
     auto& totals = totals_.clients[kind];
     ++totals.asked;
     totals.possible += clients.type.importance;
-    const auto places = static_cast<std::uint64_t>(world_.places());
-    const auto count =
-        std::clamp<std::uint64_t>(static_cast<std::uint64_t>(clients.parts(chance_) + 0.5), 1, places);
-    std::set<std::uint64_t> shards;
-    while (shards.size() < count) shards.insert(chance_.below(places));
-    double sum = 0;
-    for (const auto shard : shards) {
-        PartArrival part;
-        part.shard = static_cast<int>(shard);
-        part.weight = clients.even ? 1 : 0.05 + chance_.one();
-        sum += part.weight;
-        // The k-th key in proportion to 1/k: evenly in the logarithm.
-        if (clients.keys > 0)
-            part.key = static_cast<std::uint64_t>(std::exp(chance_.one() * std::log(clients.keys + 1.0)));
-        request.parts.push_back(part);
-    }
-    for (auto& part : request.parts) part.weight /= sum;
     ask(slot);
 }
 
@@ -432,22 +405,7 @@
         const auto own = static_cast<Time>(clients.retry_wait_ms(chance_) * 10);
         return at(now_ + std::max({own, wait, Time{1}}), Kind::kAgain, open.request);
     }
-    const Time took = now_ - request.first_asked;
-    switch (how) {
-        case How::kAnswered: {
-            const bool late = took > type.latency_budget;
-            totals.late += late ? 1U : 0U;
-            ++(whole ? totals.whole : totals.in_part);
-            totals.ms.add(static_cast<double>(took) / 10);
-            totals.earned += type.importance * (whole ? 1 : type.short_importance * in) *
-                             (late ? type.late_importance : 1);
-            break;
-        }
-        case How::kPushedBack: ++totals.pushed_back; break;
-        case How::kFailed: ++totals.failed; break;
-        case How::kLeft: ++totals.left; break;
-        case How::kLost: ++totals.lost; break;
-    }
+    totals.note(type, how, whole, in, now_ - request.first_asked);
     free_requests_.push_back(open.request);
 }
 
@@ -462,11 +420,7 @@
 Time Simulation::travel(std::uint32_t node, std::uint32_t server) {
     const bool near =
         world_.zone_of_node(static_cast<int>(node)) == world_.zone_of_server(static_cast<int>(server));
-    const auto& there = *servers_[server];
-    double ms = (near ? world_.delay_ms : world_.zone_delay_ms)(chance_)*there.links;
-    const double loss = 1 - (1 - world_.loss) * (1 - there.loss);
-    while (loss > 0 && chance_.one() < loss) ms += static_cast<double>(world_.retransmit) / 10;
-    return std::max<Time>(1, static_cast<Time>(ms * 10 + 0.5));
+    return servers_[server]->travel(world_, near, chance_);
 }
 
 void Simulation::send(std::uint32_t index, const Send& asked) {
@@ -565,24 +519,12 @@
 void Simulation::begin(std::uint32_t slot) {
     auto& out = sends_[slot];
     auto& server = *servers_[out.server];
-    double ms = world_.servers.part_ms(chance_);
-    if (out.first_of_call) ms += world_.servers.call_ms(chance_);
-    ms *= server.slow;
-    if (const Time age = now_ - server.started;
-        world_.servers.warm_after > 0 && age < world_.servers.warm_after) {
-        const double warm = static_cast<double>(age) / static_cast<double>(world_.servers.warm_after);
-        ms *= world_.servers.cold_factor + (1 - world_.servers.cold_factor) * warm;
-    }
-    if (out.key != 0 && !server.keys.empty()) {
-        auto& held = server.keys[out.key % server.keys.size()];
-        if (held != out.key) ms *= world_.servers.unheld_factor;
-        held = out.key;
-    }
+    const Time work = server.work(world_, now_, out.first_of_call, out.key, chance_);
     ++totals_.run;
     if (log_) say("run " + part_name(out.multiget) + " server " + std::to_string(out.server));
     if (world_.clients[out.op_type].type.repeat == Repeat::kNonRetriable && ++ran_[out.effect] > 1)
         ++totals_.run_twice;
-    at(now_ + std::max<Time>(1, static_cast<Time>(ms * 10 + 0.5)), Kind::kWorked, slot, 0, server.era);
+    at(now_ + work, Kind::kWorked, slot, 0, server.era);
 }
 
 void Simulation::worked(std::uint32_t slot) {
@@ -635,12 +577,8 @@
         return kNever;
     const double good = (1 - server.errors) * (1 - server.spoilt);
     if (good <= 0.01) return kNever;
-    double ms = (world_.servers.part_ms.mean() + world_.servers.call_ms.mean()) * server.slow;
-    if (const Time age = now_ - server.started;
-        world_.servers.warm_after > 0 && age < world_.servers.warm_after) {
-        const double warm = static_cast<double>(age) / static_cast<double>(world_.servers.warm_after);
-        ms *= world_.servers.cold_factor + (1 - world_.servers.cold_factor) * warm;
-    }
+    const double ms = (world_.servers.part_ms.mean() + world_.servers.call_ms.mean()) * server.slow *
+                      server.coldness(world_, now_);
     const auto ahead = static_cast<double>(server.model.held()) + server.coming;
     if (ahead >= world_.servers.queue + world_.servers.cores) return kNever;
     const double waits = std::max(0.0, ahead - world_.servers.cores + 1) / world_.servers.cores;
@@ -651,24 +589,6 @@
 
 // --- Troubles ---
 
-std::vector<std::uint32_t> Simulation::chosen(const Trouble& trouble, std::uint32_t index,
-                                              std::size_t of) const {
-    const bool whole_zone = trouble.kind == Trouble::Kind::kZoneLost;
-    const bool of_nodes = trouble.kind == Trouble::Kind::kNodeKilled;
-    std::vector<std::uint32_t> all;
-    for (std::uint32_t i = 0; i < of; ++i) {
-        const int zone =
-            of_nodes ? world_.zone_of_node(static_cast<int>(i)) : world_.zone_of_server(static_cast<int>(i));
-        if (trouble.zone < 0 || trouble.zone == zone) all.push_back(i);
-    }
-    if (whole_zone) return all;
-    const auto count = static_cast<std::size_t>(std::lround(trouble.share * static_cast<double>(all.size())));
-    Chance drawn(world_.seed * 1'000'003 + index);  // the same at its begin and its end
-    for (std::size_t i = 0; i + 1 < all.size(); ++i) std::swap(all[i], all[i + drawn.below(all.size() - i)]);
-    all.resize(count);
-    return all;
-}
-
 // Discovery's news of a server goes to every front node, now or once discovery is up again.
 void Simulation::spread(std::uint32_t server) {
     if (discovery_down_ > 0) {
@@ -709,7 +629,6 @@
 void Simulation::befall(const Trouble& trouble, bool begins, std::uint32_t index) {
     using Of = Trouble::Kind;
     auto& server = *servers_[index];
-    const int by = begins ? 1 : -1;
     say("server " + std::to_string(index) + ' ' + name_of(trouble.kind) + (begins ? " begins" : " ends"));
     switch (trouble.kind) {
         case Of::kCrash:
@@ -721,25 +640,11 @@
             if (begins) return take_down(index, silently);
             return bring_up(index, silently);
         }
-        case Of::kHang:
-        case Of::kPauses:
-            server.hung += by;
-            if (server.hung > 0) break;
-            for (const auto slot : std::exchange(server.held, {})) {
-                at(now_, Kind::kReach, slot);  // with the reference that it held
-            }
-            break;
-        case Of::kSlow: server.slow *= begins ? trouble.factor : 1 / trouble.factor; break;
-        case Of::kSlowLinks: server.links *= begins ? trouble.factor : 1 / trouble.factor; break;
-        case Of::kFull: server.full += by; break;
-        case Of::kErrors: server.errors = begins ? trouble.factor : 0; break;
-        case Of::kSpoilt: server.spoilt = begins ? trouble.factor : 0; break;
-        case Of::kLossy: server.loss = begins ? trouble.factor : 0; break;
-        case Of::kCutOff:
-        case Of::kDiscoveryDown:
-        case Of::kSurge:
-        case Of::kNodeKilled: break;  // not of a server
+        default: server.befall(trouble, begins); break;
     }
+    if (server.hung > 0) return;
+    for (const auto slot : std::exchange(server.held, {}))
+        at(now_, Kind::kReach, slot);  // with the reference that it held
 }
 
 void Simulation::trouble(const Trouble& trouble, bool begins, std::uint32_t index) {
@@ -755,11 +660,11 @@
             return;
         case Of::kNodeKilled:
             if (!begins) return;
-            for (const auto node : chosen(trouble, index, nodes_.size())) kill_node(node);
+            for (const auto node : struck(world_, index)) kill_node(node);
             return;
         default: break;
     }
-    const auto servers = chosen(trouble, index, servers_.size());
+    const auto servers = struck(world_, index);
     if (trouble.kind == Of::kPauses || trouble.kind == Of::kFlapping || trouble.kind == Of::kRolling) {
         if (!begins) return;  // each spell ends by itself
         Time first = now_;
--- a/src/lab/simulation.hpp
+++ b/src/lab/simulation.hpp
@@ -12,6 +12,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lab/condition.hpp"
+#include "lab/demand.hpp"
 #include "lab/event_wheel.hpp"
 #include "lab/policy.hpp"
 #include "lab/server_model.hpp"
@@ -51,13 +53,6 @@
         Kind kind = Kind::kArrival;
     };
     struct Node;
-    struct Request {  // of a client, over all its tries
-        std::uint32_t kind = 0;
-        Time first_asked = 0;
-        int tries_left = 0;
-        std::uint64_t effect = 0;  // names what must not happen twice
-        std::vector<PartArrival> parts;
-    };
     struct SendOut {
         std::uint32_t node = 0, era = 0;
         Id part = 0;
@@ -72,24 +67,17 @@
         bool told = false, reached = false, first_of_call = false;
         int references = 0;
     };
-    struct Server {
+    struct Server : Condition {
         Server(int cores, int queue) : model(cores, queue) {}
         ServerModel model;
-        Time started = -1'000'000'000;
-        int down = 0, vanished = 0, hung = 0, full = 0;  // by so many troubles
-        bool draining = false;
-        double slow = 1, errors = 0, spoilt = 0, links = 1, loss = 0;
         std::uint32_t era = 0;
         int coming = 0;                   // sends on their way to it
         std::vector<std::uint32_t> held;  // sends that have come, and wait while it hangs
-        std::vector<std::uint64_t> keys;  // held, each in the place that it falls to
-        bool up() const { return down == 0; }
     };
 
     void at(Time when, Kind kind, std::uint32_t which, std::uint32_t what = 0, std::uint32_t era = 0);
     void happen(const Happening& what);
     void arrive(std::uint32_t kind);
-    double busier(const ClientKind& clients) const;
     void ask(std::uint32_t request);
     void turn(std::uint32_t node);
     void tell(std::uint32_t node, Event event);
@@ -100,7 +88,6 @@
     void worked(std::uint32_t slot);
     void answer_back(std::uint32_t slot, Outcome outcome);
     void end_send(std::uint32_t slot, Outcome outcome);
-    enum class How { kAnswered, kPushedBack, kFailed, kLeft, kLost };
     void end(std::uint32_t node, Id multiget, How how, bool whole, Time wait = 0);
     void trouble(const Trouble& trouble, bool begins, std::uint32_t index);
     void befall(const Trouble& trouble, bool begins, std::uint32_t server);
@@ -110,7 +97,6 @@
     void spread(std::uint32_t server);
     void kill_node(std::uint32_t node);
     void start_node(std::uint32_t node);
-    std::vector<std::uint32_t> chosen(const Trouble& trouble, std::uint32_t index, std::size_t of) const;
     ListEntry entry(std::uint32_t server) const;
     void release(std::uint32_t slot);
     bool is_cut(std::uint32_t node, std::uint32_t server) const;
--- a/src/lab/totals.hpp
+++ b/src/lab/totals.hpp
@@ -6,9 +6,12 @@
 #include <vector>
 
 #include "lab/sketch.hpp"
+#include "logic.hpp"
 
 namespace pinedoor::lab {
 
+enum class How { kAnswered, kPushedBack, kFailed, kLeft, kLost };
+
 struct Totals {
     struct OfClients {
         std::string name;
@@ -17,6 +20,25 @@
                       left = 0, lost = 0;
         double earned = 0, possible = 0;  // by importance
         QuantileSketch ms{0.01};          // from the first try to each answer
+
+        // How a request ended for good, `took` after it was first asked, with this weight in.
+        void note(const OpType& type, How how, bool whole_, double in, Time took) {
+            switch (how) {
+                case How::kAnswered: {
+                    const bool is_late = took > type.latency_budget;
+                    late += is_late ? 1U : 0U;
+                    ++(whole_ ? whole : in_part);
+                    ms.add(static_cast<double>(took) / 10);
+                    earned += type.importance * (whole_ ? 1 : type.short_importance * in) *
+                              (is_late ? type.late_importance : 1);
+                    break;
+                }
+                case How::kPushedBack: ++pushed_back; break;
+                case How::kFailed: ++failed; break;
+                case How::kLeft: ++left; break;
+                case How::kLost: ++lost; break;
+            }
+        }
     };
     std::vector<OfClients> clients;
     std::uint64_t sends = 0, events = 0, run = 0, run_twice = 0, node_kills = 0;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "lab/condition.hpp"
 #include "stated/toml_table.hpp"
 
 namespace pinedoor::lab {
@@ -306,4 +307,22 @@
     return out.str();
 }
 
+std::vector<std::uint32_t> struck(const World& world, std::uint32_t index) {
+    const auto& trouble = world.troubles[index];
+    const bool of_nodes = trouble.kind == Trouble::Kind::kNodeKilled;
+    const auto of = static_cast<std::uint32_t>(of_nodes ? world.nodes : world.servers.count);
+    std::vector<std::uint32_t> all;
+    for (std::uint32_t i = 0; i < of; ++i) {
+        const int zone =
+            of_nodes ? world.zone_of_node(static_cast<int>(i)) : world.zone_of_server(static_cast<int>(i));
+        if (trouble.zone < 0 || trouble.zone == zone) all.push_back(i);
+    }
+    if (trouble.kind == Trouble::Kind::kZoneLost) return all;
+    const auto count = static_cast<std::size_t>(std::lround(trouble.share * static_cast<double>(all.size())));
+    Chance drawn(world.seed * 1'000'003 + index);
+    for (std::size_t i = 0; i + 1 < all.size(); ++i) std::swap(all[i], all[i + drawn.below(all.size() - i)]);
+    all.resize(count);
+    return all;
+}
+
 }  // namespace pinedoor::lab
