Laboratory on sockets: real front nodes against emulated servers, discovery and clients

Only simulated time was played; nothing showed the built program on a user's fleet. pinedoor-lab live starts real front nodes on loopback and plays the same worlds against them: index servers with queues, delays by zone and troubles, discovery for each front node, open-loop clients over kept connections, all on the project's coroutines in one process. The log reads as the simulation's, so the checker, timelines and reports take it.

--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -20,6 +20,7 @@
 #include "lab/compare.hpp"
 #include "lab/experiment.hpp"
 #include "lab/hunt.hpp"
+#include "lab/live.hpp"
 #include "lab/report.hpp"
 #include "lab/simulation.hpp"
 #include "lab/timeline.hpp"
@@ -134,56 +135,113 @@
 
 }  // namespace
 
-int run_world(const World& world, PolicyKind policy, const RunWords& words) {
-    std::ofstream log;
-    if (!words.log.empty()) {
-        log.open(words.log, std::ios::binary);
-        if (!log) throw stated::BadStated(words.log + ": cannot be written");
+namespace {
+
+void print_clients(const Totals& totals) {
+    std::printf("  %-16s %9s %9s %8s %8s %8s %8s %8s %6s %8s %8s %8s\n", "clients", "asked", "whole",
+                "in part", "late", "pushed", "failed", "left", "lost", "p50 ms", "p99 ms", "service");
+    for (const auto& each : totals.clients) {
+        std::printf("  %-16s %9llu %9llu %8llu %8llu %8llu %8llu %8llu %6llu %8.2f %8.2f %8.4f\n",
+                    each.name.c_str(), static_cast<Number>(each.asked), static_cast<Number>(each.whole),
+                    static_cast<Number>(each.in_part), static_cast<Number>(each.late),
+                    static_cast<Number>(each.pushed_back), static_cast<Number>(each.failed),
+                    static_cast<Number>(each.left), static_cast<Number>(each.lost), each.ms.quantile(0.5),
+                    each.ms.quantile(0.99), each.possible > 0 ? each.earned / each.possible : 0);
     }
-    std::function<void(const std::string&)> say;
-    RuleChecker checker;
-    if (log.is_open() || words.check) {
-        say = [&](const std::string& line) {
-            if (log.is_open()) log << line << '\n';
-            if (words.check) checker.take(line);
+}
+
+// Where a run's lines go: to a file, to the checker, to both, or nowhere.
+struct Lines {
+    explicit Lines(const RunWords& words) : path(words.log), checks(words.check) {
+        if (path.empty()) return;
+        file.open(path, std::ios::binary);
+        if (!file) throw stated::BadStated(path + ": cannot be written");
+    }
+    std::function<void(const std::string&)> taker() {
+        if (!file.is_open() && !checks) return {};
+        return [this](const std::string& line) {
+            if (file.is_open()) file << line << '\n';
+            if (checks) checker.take(line);
         };
     }
+    void close() {
+        if (file.is_open() && !file.flush())
+            throw stated::BadStated(path + ": cannot be written; is the disk full?");
+    }
+    std::string path;
+    bool checks;
+    std::ofstream file;
+    RuleChecker checker;
+};
+
+int verdict_on(Lines& lines, const Totals& totals) {
+    if (lines.checks) {
+        const auto found = lines.checker.finish();
+        print_breaches(found);
+        if (!found.empty()) return kBroken;
+    }
+    return totals.broken() > 0 ? kBroken : kDone;
+}
+
+}  // namespace
+
+int run_world(const World& world, PolicyKind policy, const RunWords& words) {
+    Lines lines(words);
     const auto began = Clock::now();
-    Simulation simulation(world, policy, say);
-    const auto totals = simulation.run();
+    const auto totals = Simulation(world, policy, lines.taker()).run();
     const double took = seconds_since(began);
-    if (log.is_open() && !log.flush())
-        throw stated::BadStated(words.log + ": cannot be written; is the disk full?");
+    lines.close();
     if (words.json) {
         std::printf("%s\n", totals.to_json().c_str());
         return totals.broken() > 0 ? kBroken : kDone;
     }
     std::printf("%s, seed %llu, %s: service %.4f\n", world.name.c_str(), static_cast<Number>(world.seed),
                 std::string(name_of(policy)).c_str(), totals.service());
-    std::printf("  %-16s %9s %9s %8s %8s %8s %8s %8s %6s %8s %8s %8s\n", "clients", "asked", "whole",
-                "in part", "late", "pushed", "failed", "left", "lost", "p50 ms", "p99 ms", "service");
-    for (const auto& each : totals.clients) {
-        std::printf("  %-16s %9llu %9llu %8llu %8llu %8llu %8llu %8llu %6llu %8.2f %8.2f %8.4f\n",
-                    each.name.c_str(), static_cast<Number>(each.asked), static_cast<Number>(each.whole),
-                    static_cast<Number>(each.in_part), static_cast<Number>(each.late),
-                    static_cast<Number>(each.pushed_back), static_cast<Number>(each.failed),
-                    static_cast<Number>(each.left), static_cast<Number>(each.lost), each.ms.quantile(0.5),
-                    each.ms.quantile(0.99), each.possible > 0 ? each.earned / each.possible : 0);
-    }
+    print_clients(totals);
     std::printf(
-        "  sends %llu, parts run %llu, run twice %llu; %llu events in %.2f s, %.0f times real time; %.0f%% "
+        "  sends %llu, parts run %llu, run twice %llu; %llu events in %.2f s, %.1f times real time; %.0f%% "
         "of "
         "it in the module, %.1f us a turn\n",
         static_cast<Number>(totals.sends), static_cast<Number>(totals.run),
         static_cast<Number>(totals.run_twice), static_cast<Number>(totals.events), took,
         static_cast<double>(world.length) / 1e4 / took, 100 * totals.turns_seconds / took,
         totals.turns > 0 ? totals.turns_seconds / static_cast<double>(totals.turns) * 1e6 : 0);
-    if (words.check) {
-        const auto found = checker.finish();
-        print_breaches(found);
-        if (!found.empty()) return kBroken;
+    return verdict_on(lines, totals);
+}
+
+int live(const World& world, const std::string& program, std::size_t connections, const RunWords& words) {
+    Lines lines(words);
+    const Bar bar("on sockets, seconds");
+    LiveWords how{program, connections, {}};
+    const auto last = static_cast<std::size_t>(world.length / 10'000);
+    how.watch = [&bar, last](int second, std::size_t open) {
+        bar.show(std::min(static_cast<std::size_t>(second), last), last, std::to_string(open) + " open");
+    };
+    const auto totals = play_live(world, how, lines.taker());
+    lines.close();
+    if (words.json) {
+        std::printf("%s\n", totals.to_json().c_str());
+        return totals.broken() > 0 ? kBroken : kDone;
     }
-    return totals.broken() > 0 ? kBroken : kDone;
+    std::printf("%s, seed %llu, on sockets: service %.4f\n", world.name.c_str(),
+                static_cast<Number>(world.seed), totals.service());
+    print_clients(totals);
+    std::uint64_t tries = 0;
+    for (const auto& each : totals.clients) tries += each.tries;
+    const auto each_us = [tries](double seconds) {
+        return seconds / static_cast<double>(std::max<std::uint64_t>(1, tries)) * 1e6;
+    };
+    std::printf(
+        "  sends %llu, parts run %llu, run twice %llu; front nodes %.0f us of CPU a request, the laboratory "
+        "%.0f; %zu connections of clients%s%s\n",
+        static_cast<Number>(totals.sends), static_cast<Number>(totals.run),
+        static_cast<Number>(totals.run_twice), each_us(totals.node_cpu_seconds),
+        each_us(totals.own_cpu_seconds), totals.most_connections,
+        totals.without_room > 0 ? (", " + std::to_string(totals.without_room) + " found none free").c_str()
+                                : "",
+        totals.bad_exits > 0 ? ", A FRONT NODE DID NOT END WITH 0" : "");
+    const int verdict = verdict_on(lines, totals);
+    return totals.bad_exits > 0 ? kBroken : verdict;
 }
 
 int judge_log(const std::string& path) {
--- a/src/lab/commands.hpp
+++ b/src/lab/commands.hpp
@@ -21,6 +21,8 @@
     bool check = false, json = false;
 };
 int run_world(const World& world, PolicyKind policy, const RunWords& words);
+// On sockets, with real front nodes: `program` is pinedoor.
+int live(const World& world, const std::string& program, std::size_t connections, const RunWords& words);
 int judge_log(const std::string& path);
 
 struct CompareWords {
--- /dev/null
+++ b/src/lab/live_list.cpp
@@ -0,0 +1,134 @@
+#include "lab/live_list.hpp"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace pinedoor::lab {
+namespace {
+
+constexpr net::Moment kBeat = 10'000;
+constexpr std::uint32_t kLoopback = 0x7f000001;
+
+std::string chunk(const std::string& text) {
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+}  // namespace
+
+std::string LiveMember::text() const {
+    return "{\"id\":\"" + name + "\",\"host_port\":\"" + net::to_text(at) + "\",\"locality\":\"" + zone +
+           "\",\"flavor\":\"lab\",\"cell\":" + std::to_string(place) + ",\"phase\":\"" + phase +
+           "\",\"size\":1.0,\"up_since_ms\":" + std::to_string(up_since_ms) + "}";
+}
+
+std::string list_text(int revision, bool complete, const std::vector<LiveMember>& members) {
+    std::string text = "{\"revision\":" + std::to_string(revision) +
+                       ",\"complete\":" + (complete ? "true" : "false") + ",\"members\":[";
+    bool first = true;
+    for (const auto& member : members) {
+        if (complete && member.phase == "Gone") continue;
+        text += (std::exchange(first, false) ? "" : ",") + member.text();
+    }
+    return text + "]}";
+}
+
+LiveList::LiveList(net::Scheduler& scheduler, Agenda& agenda) : scheduler_(scheduler), agenda_(agenda) {
+    at_ = {kLoopback, 0};
+    open();
+    beat();
+}
+
+void LiveList::open() {
+    listener_ = net::listen_on(at_);
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address), &size);
+    at_.port = ntohs(address.sin_port);
+    waiter_ = std::make_unique<net::Waiter>(scheduler_, listener_.get());
+    task_ = accept();
+    task_.start([this](std::exception_ptr failure) {
+        if (failure) scheduler_.defer([failure] { std::rethrow_exception(failure); });
+    });
+}
+
+void LiveList::go_down() {
+    task_ = net::Task{};
+    waiter_ = nullptr;
+    listener_ = net::Fd{};
+    links_.clear();
+}
+
+void LiveList::come_up() { open(); }
+
+net::Task LiveList::accept() {
+    for (;;) {
+        auto [fd, error] = net::accept_from(listener_);
+        if (!fd) {
+            waiter_->used_up(net::kRead);
+            co_await waiter_->wait(net::kRead);
+            continue;
+        }
+        links_.push_back(std::make_unique<Link>(scheduler_, std::move(fd)));
+        auto& link = *links_.back();
+        link.task = serve(link);
+        link.task.start([this, &link](std::exception_ptr) {
+            link.over = true;
+            scheduler_.defer([this] { std::erase_if(links_, [](const auto& each) { return each->over; }); });
+        });
+    }
+}
+
+net::Task LiveList::serve(Link& link) {
+    auto& waiter = link.stream.waiter();
+    parse::HttpReader reader(parse::HttpReader::Kind::kRequest);
+    while (!link.stream.broken()) {
+        if (waiter.may(net::kRead)) {
+            const auto got = link.stream.read();
+            if (got == net::Stream::Got::kEnd || got == net::Stream::Got::kBroken) co_return;
+            auto& buffer = link.stream.buffer();
+            buffer.drop(reader.feed(buffer.held()));
+            if (reader.state() == parse::HttpReader::State::kBad) co_return;
+            if (reader.state() == parse::HttpReader::State::kDone && !link.watches) {
+                link.watches = reader.target().find("stream=1") != std::string::npos;
+                const auto all = list_text(revision_, true, members_);
+                if (link.watches)
+                    link.out += "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(all + '\n');
+                else
+                    link.out += parse::http_answer(200, "", all, true);
+            }
+        }
+        if (!link.out.empty() && waiter.may(net::kWrite)) link.out.erase(0, link.stream.write(link.out));
+        const bool answered = reader.state() == parse::HttpReader::State::kDone && !link.watches;
+        if (answered && link.out.empty()) co_return;
+        co_await waiter.wait(net::kRead | (link.out.empty() ? 0U : unsigned{net::kWrite}));
+    }
+}
+
+void LiveList::say(Link& link, const std::string& text) {
+    link.out += chunk(text);
+    link.stream.waiter().signal();
+}
+
+void LiveList::change(const LiveMember& member) {
+    ++revision_;
+    for (auto& each : members_) {
+        if (each.name == member.name) each = member;
+    }
+    for (auto& link : links_) {
+        if (link->watches) say(*link, list_text(revision_, false, {member}) + '\n');
+    }
+}
+
+void LiveList::beat() {
+    for (auto& link : links_) {
+        if (link->watches) say(*link, "\n");
+    }
+    agenda_.at(agenda_.now() + kBeat, [this] { beat(); });
+}
+
+}  // namespace pinedoor::lab
--- /dev/null
+++ b/src/lab/live_server.hpp
@@ -0,0 +1,114 @@
+// One emulated index server on real sockets: frames in, answers out, its work and its troubles as in
+// simulated time. It listens at one port for each zone, so it knows how far away its callers are.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/agenda.hpp"
+#include "lab/condition.hpp"
+#include "lab/server_model.hpp"
+#include "lab/totals.hpp"
+#include "net/stream.hpp"
+
+namespace pinedoor::lab {
+
+// What all parts of a run on sockets share.
+struct LiveBook {
+    LiveBook(const World& told, std::function<void(const std::string&)> lines)
+        : world(told), log(std::move(lines)), chance(told.seed), cut(static_cast<std::size_t>(told.zones)) {}
+
+    void say(net::Moment now, const std::string& line) const {
+        if (log) log(std::to_string(now - start) + ' ' + line);
+    }
+    bool is_cut(int a, int b) const {
+        return a != b && (cut[static_cast<std::size_t>(a)] > 0 || cut[static_cast<std::size_t>(b)] > 0);
+    }
+
+    const World world;
+    const std::function<void(const std::string&)> log;
+    Chance chance;
+    net::Moment start = 0;  // of the run; the log counts from then
+    Totals totals;
+    std::vector<int> cut;                        // zones, by so many troubles
+    std::unordered_map<std::string, int> sends;  // of each part
+    std::unordered_map<std::uint64_t, std::uint64_t>
+        effects;                               // of what must not run twice: multiget to its first try
+    std::unordered_map<std::string, int> ran;  // likewise, by first try and shard
+};
+
+// "17n3.5": multiget 17, asked at front node 3, its shard 5.
+std::string multiget_name(std::uint64_t multiget, int node);
+
+class LiveServer {
+public:
+    LiveServer(net::Scheduler& scheduler, Agenda& agenda, LiveBook& book, int index);
+
+    net::Endpoint at(int zone) const { return at_[static_cast<std::size_t>(zone)]; }
+    const Condition& condition() const { return condition_; }
+    void befall(const Trouble& trouble, bool begins);  // of those that do not take it down
+    void take_down(bool silently);  // it dies, or vanishes: then it says nothing, and resets nothing
+    void bring_up(bool silently);   // it is started, cold
+    void drain() { condition_.draining = true; }
+
+private:
+    struct Door {
+        explicit Door(net::Scheduler& scheduler, net::Endpoint where);
+        net::Fd fd;
+        net::Endpoint at;
+        net::Waiter waiter;
+        net::Task task;
+    };
+    struct Link {
+        Link(net::Scheduler& scheduler, net::Fd fd, int from)
+            : stream(scheduler, std::move(fd)), zone(from) {}
+        net::Stream stream;
+        const int zone;
+        std::string out;
+        std::size_t written = 0;
+        net::Task task;
+    };
+    struct Part {
+        std::uint64_t link = 0;
+        std::string id;
+        std::uint64_t multiget = 0;
+        int shard = 0;
+        bool first_of_call = false;
+        bool called_off = false;
+    };
+
+    void open_doors();
+    net::Task accept(Door& door, int zone);
+    net::Task serve(std::uint64_t id, Link& link);
+    void take_frames(std::uint64_t id, Link& link);
+    void take_call(std::uint64_t link, std::string_view rest);
+    void call_off(std::string_view id);
+    void arrive(Job job);
+    void begin(Job job);
+    void worked(Job job, std::uint32_t era);
+    void reply(Job job, const char* end, const std::string& value);
+    Time travel(int zone);
+
+    net::Scheduler& scheduler_;
+    Agenda& agenda_;
+    LiveBook& book_;
+    const int index_;
+    const int zone_;
+    Condition condition_;
+    ServerModel model_;
+    std::uint32_t era_ = 0;
+    std::unordered_map<Job, Part> parts_;
+    std::unordered_map<std::string, Job> by_id_;
+    std::vector<Job> held_;
+    Job last_job_ = 0;
+    std::uint64_t last_link_ = 0;
+    std::vector<net::Endpoint> at_;             // by zone; kept over a crash
+    std::vector<std::unique_ptr<Door>> doors_;  // by zone; null while it is down
+    std::unordered_map<std::uint64_t, std::unique_ptr<Link>> links_;
+};
+
+}  // namespace pinedoor::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,6 +1,7 @@
 // pinedoor-lab: worlds of emulated servers and clients, and what the front node makes of them.
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 
 #include "lab/commands.hpp"
@@ -32,6 +33,7 @@
         app.footer(
             "Examples:\n"
             "  pinedoor-lab run lab/worlds/hall.toml --check\n"
+            "  pinedoor-lab live lab/worlds/hall.toml --check\n"
             "  pinedoor-lab compare lab/worlds/evening.toml --seeds 20 --results lab.db\n"
             "  pinedoor-lab compare lab/worlds/*.toml --variants pinedoor pinedoor,sends.most=2 sees-all\n"
             "  pinedoor-lab sweep lab/worlds/evening.toml servers.queue 4 16 64\n"
@@ -84,6 +86,19 @@
         run->add_flag("--check", run_.check, "Check the six rules by the log; exit 3 if one is broken");
         run->add_flag("--json", run_.json, "One JSON object");
         run->callback([this] { code_ = run_world(world(), *policy_named(policy_), run_); });
+        auto* live = app.add_subcommand("live", "Play a world on sockets, with real front nodes on loopback");
+        add_world(live);
+        live->add_option("--program", program_, "pinedoor; else the one beside this program");
+        live->add_option("--connections", connections_, "Of clients, at most")->capture_default_str();
+        live->add_option("--log", run_.log, "Write what happens, a line each, to this file");
+        live->add_flag("--check", run_.check, "Check the six rules by the log; exit 3 if one is broken");
+        live->add_flag("--json", run_.json, "One JSON object");
+        live->callback([this] {
+            if (program_.empty())
+                program_ =
+                    (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "pinedoor").string();
+            code_ = pinedoor::lab::live(world(), program_, connections_, run_);
+        });
         auto* judge = app.add_subcommand("judge", "Check the six rules by a log that was written");
         judge->add_option("log", path_, "The log of a run")->required();
         judge->callback([this] { code_ = judge_log(path_); });
@@ -189,6 +204,8 @@
 
     int code_ = kDone;
     std::string path_, policy_ = "pinedoor", key_, what_ = "fleet", out_ = "report.html", plots_;
+    std::string program_;
+    std::size_t connections_ = 2'000;
     std::int64_t seed_ = -1, multiget_ = -1;
     std::vector<std::string> changes_, values_;
     std::vector<double> factors_{1, 2, 4, 8};
