--- a/src/lab/live.cpp
+++ b/src/lab/live.cpp
@@ -27,7 +27,8 @@
 constexpr Time kSecond = 10'000;
 constexpr Time kDrain = 5'000;
 constexpr std::uint32_t kLoopback = 0x7f000001;
-constexpr Time kMoreTime = 500;  // each limit of the rules, on sockets (PROTOCOL, "The rules on sockets")
+constexpr int kPatienceMs = 6'000;  // with a front node that was told to end
+constexpr Time kMoreTime = 500;     // each limit of the rules, on sockets (PROTOCOL, "The rules on sockets")
 
 net::Endpoint free_endpoint() {
     const auto fd = net::listen_on({kLoopback, 0});
@@ -93,7 +94,23 @@
                 static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec) / 1e6;
         return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     }
-    bool ended_by_itself() const { return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_; }
+    bool ended_by_itself() {
+        if (pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) != pid_) return false;
+        pid_ = 0;
+        return true;
+    }
+    // As wait(), but one that has not ended by then is killed.
+    int wait_or_kill(int most_ms) {
+        for (int ms = 0; ms < most_ms && pid_ > 0; ms += 10) {
+            siginfo_t seen{};
+            if (waitid(P_PID, static_cast<id_t>(pid_), &seen, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                seen.si_pid == pid_)
+                return wait();
+            usleep(10'000);
+        }
+        kill();
+        return -SIGKILL;
+    }
     double cpu() const { return cpu_; }
 
 private:
@@ -144,7 +161,7 @@
         static_cast<Totals&>(totals) = std::move(book_.totals);
         for (const auto& process : processes_) process->terminate();
         for (const auto& process : processes_) {
-            totals.bad_exits += process->wait() == 0 ? 0 : 1;
+            totals.bad_exits += process->wait_or_kill(kPatienceMs) == 0 ? 0 : 1;
             totals.node_cpu_seconds += process->cpu();
         }
         rusage used{};
