--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -244,6 +244,82 @@
     return totals.bad_exits > 0 ? kBroken : verdict;
 }
 
+namespace {
+
+// What the second before this one brought, and how the servers are: a letter each.
+void print_second(const Timeline& run, const World& world, std::size_t second) {
+    if (second == 0 || second > run.seconds().size()) return;
+    const auto& s = run.seconds()[second - 1];
+    std::printf(
+        "%3zu s  asked %4llu  whole %4llu  in part %3llu  late %3llu  pushed back %3llu  failed %3llu   p50 "
+        "%6.1f ms  p99 %6.1f ms\n",
+        second, static_cast<Number>(s.asked), static_cast<Number>(s.ends.whole),
+        static_cast<Number>(s.ends.in_part), static_cast<Number>(s.ends.late),
+        static_cast<Number>(s.ends.pushed_back),
+        static_cast<Number>(s.ends.failed + s.ends.gone + s.ends.lost), s.ms.quantile(0.5),
+        s.ms.quantile(0.99));
+    std::string letters, on;
+    for (int id = 0; id < world.servers.count; ++id) {
+        if (id > 0 && id % world.places() == 0) letters += ' ';
+        const auto found = run.servers().find(id);
+        if (found == run.servers().end()) {
+            letters += '_';
+            continue;
+        }
+        const auto& server = found->second;
+        const bool ails = std::any_of(server.troubles.begin(), server.troubles.end(),
+                                      [](const Timeline::Spell& each) { return each.until < 0; });
+        const auto runs = server.runs.find(static_cast<int>(second) - 1);
+        const auto bad = server.bad.find(static_cast<int>(second) - 1);
+        letters += ails                                             ? 'X'
+                   : bad != server.bad.end()                        ? '!'
+                   : runs == server.runs.end() || runs->second == 0 ? '_'
+                   : runs->second < 20                              ? '.'
+                   : runs->second < 60                              ? 'o'
+                                                                    : 'O';
+    }
+    for (const auto& each : run.troubles()) on += each.until < 0 ? ' ' + each.what : std::string();
+    std::printf("       servers %s%s%s\n", letters.c_str(), on.empty() ? "" : "   now wrong:", on.c_str());
+    std::fflush(stdout);
+}
+
+}  // namespace
+
+int watch(const World& world, const std::string& program, const std::string& report_path) {
+    std::printf(
+        "%s: %d index servers in %d zones, %d front nodes (real processes on loopback), for %.0f s.\nA "
+        "letter is a "
+        "server: X something is wrong with it in truth, ! sends there came to nothing, _ idle, . o O its "
+        "load.\n\n",
+        world.name.c_str(), world.servers.count, world.zones, world.nodes,
+        static_cast<double>(world.length) / 1e4);
+    Timeline timeline;
+    RuleChecker checker;
+    LiveWords how{program, 2'000, {}};
+    how.watch = [&](int second, std::size_t) {
+        print_second(timeline, world, static_cast<std::size_t>(second));
+    };
+    const auto totals = play_live(world, how, [&](const std::string& line) {
+        timeline.take(line);
+        checker.take(line);
+    });
+    timeline.finish();
+    std::printf("\nservice %.4f\n", totals.service());
+    print_clients(totals);
+    const auto found = checker.finish();
+    print_breaches(found);
+    char told[100];
+    std::snprintf(told, sizeof told, "seed %llu, on sockets: service %.4f", static_cast<Number>(world.seed),
+                  totals.service());
+    if (!report_path.empty()) {
+        const auto page = report_page(timeline, {world.name, world.to_toml(), told});
+        std::ofstream file(report_path, std::ios::binary);
+        if (!(file << page) || !file.flush()) throw stated::BadStated(report_path + ": cannot be written");
+        std::printf("\nOpen %s in a browser: where the loss went, and when.\n", report_path.c_str());
+    }
+    return totals.broken() > 0 || !found.empty() || totals.bad_exits > 0 ? kBroken : kDone;
+}
+
 int judge_log(const std::string& path) {
     std::ifstream log(path, std::ios::binary);
     if (!log) throw stated::BadStated(path + ": cannot be read; name a log that exists");
--- a/src/lab/commands.hpp
+++ b/src/lab/commands.hpp
@@ -23,6 +23,8 @@
 int run_world(const World& world, PolicyKind policy, const RunWords& words);
 // On sockets, with real front nodes: `program` is pinedoor.
 int live(const World& world, const std::string& program, std::size_t connections, const RunWords& words);
+// The same to look at: a few lines each second, and a report at the end.
+int watch(const World& world, const std::string& program, const std::string& report_path);
 int judge_log(const std::string& path);
 
 struct CompareWords {
--- a/src/lab/live_clients.cpp
+++ b/src/lab/live_clients.cpp
@@ -72,7 +72,7 @@
     const auto leaves = static_cast<Time>(clients.leave_ms(book_.chance) * 10);
     asking->leaves = leaves > 0 && leaves < clients.type.route_timeout;
     if (asking->leaves) asking->until = from + leaves;
-    const int node = static_cast<int>(book_.chance.below(nodes_.size()));
+    const int node = draw_node(book_.world, shift_, book_.chance);
     const auto number = std::to_string(asking->multiget);
     if (book_.log) {
         std::string line = "ask " + number + " node " + std::to_string(node) + " kind " +
@@ -83,6 +83,8 @@
         book_.say(agenda_.now(), line);
         if (again)
             book_.say(agenda_.now(), "same " + number + " as " + std::to_string(asking->request.effect));
+        if (book_.world.tenants.size() > 1)
+            book_.say(agenda_.now(), "tenant " + number + ' ' + tenant_of(*asking));
     }
     give(std::move(asking), node);
 }
@@ -119,6 +121,10 @@
     connection->stream.waiter().signal();
 }
 
+const std::string& LiveClients::tenant_of(const Asking& asking) const {
+    return book_.world.tenants[static_cast<std::size_t>(asking.request.tenant)].name;
+}
+
 std::string LiveClients::text_of(const Asking& asking) const {
     const auto& clients = book_.world.clients[asking.request.kind];
     std::string body = "{\"targets\":[";
@@ -131,8 +137,8 @@
     body += "],\"query\":\"lab\"}";
     return "POST /" + clients.name +
            " HTTP/1.1\r\nHost: lab\r\nX-Txn: " + multiget_name(asking.multiget, asking.node) +
-           "\r\nX-Lane: " + clients.name +
-           "\r\nX-Org: lab\r\nX-Remaining-Ms: " + std::to_string(clients.type.route_timeout / 10) +
+           "\r\nX-Lane: " + clients.name + "\r\nX-Org: " + tenant_of(asking) +
+           "\r\nX-Remaining-Ms: " + std::to_string(clients.type.route_timeout / 10) +
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -194,6 +200,59 @@
     }
 }
 
+void LiveClients::misbehave(double per_second) {
+    const bool begins = bad_per_second_ <= 0 && per_second > 0;
+    bad_per_second_ = per_second;
+    if (begins) next_bad();
+}
+
+void LiveClients::next_bad() {
+    constexpr std::size_t kMostBad = 500;
+    if (bad_per_second_ <= 0) return;
+    auto fd = bad_.size() < kMostBad ? net::connect_to(nodes_[book_.chance.below(nodes_.size())]) : net::Fd{};
+    if (fd) {
+        bad_.push_back(std::make_unique<Bad>(scheduler_, std::move(fd)));
+        auto& bad = *bad_.back();
+        bad.task = annoy(bad);
+        bad.task.start([this, &bad](std::exception_ptr) {
+            bad.over = true;
+            scheduler_.defer([this] { std::erase_if(bad_, [](const auto& each) { return each->over; }); });
+        });
+    }
+    const double wait = -std::log1p(-book_.chance.one()) / bad_per_second_ * kSecond;
+    agenda_.at(agenda_.now() + std::max<Time>(1, static_cast<Time>(wait)), [this] { next_bad(); });
+}
+
+// Says what no client should, then waits for its end and reads whatever comes, for a while.
+net::Task LiveClients::annoy(Bad& bad) {
+    constexpr net::Moment kStays = 3 * kSecond;
+    std::string text;
+    switch (book_.chance.below(5)) {
+        case 0:
+            for (int i = 0; i < 300; ++i) text += static_cast<char>(book_.chance.below(256));
+            break;
+        case 1: text = "POST /page HTTP/1.1\r\nHost: lab\r\nContent-Length: 5000\r\n\r\n{\"targets\""; break;
+        case 2: text = "GET / HTTP/1.1\r\nX: " + std::string(200'000, 'x'); break;
+        case 3: text = "POST /page HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"; break;
+        default: break;  // silence
+    }
+    const auto until = agenda_.now() + kStays;
+    std::size_t written = 0;
+    auto& waiter = bad.stream.waiter();
+    while (agenda_.now() < until && !bad.stream.broken()) {
+        if (written < text.size() && waiter.may(net::kWrite)) {
+            if (net::socket_error(bad.stream.fd()) != 0) co_return;
+            written += bad.stream.write(std::string_view(text).substr(written));
+        }
+        if (waiter.may(net::kRead)) {
+            const auto got = bad.stream.read();
+            if (got == net::Stream::Got::kEnd || got == net::Stream::Got::kBroken) co_return;
+            bad.stream.buffer().drop(bad.stream.buffer().held().size());
+        }
+        co_await waiter.wait(net::kRead | (written < text.size() ? unsigned{net::kWrite} : 0U), until);
+    }
+}
+
 // It ended without an answer. One that was never up, or that the front node closed between two requests, has
 // taken nothing: the request goes elsewhere.
 void LiveClients::broken(Connection& connection, bool taken) {
--- a/src/lab/live_clients.hpp
+++ b/src/lab/live_clients.hpp
@@ -25,7 +25,10 @@
 
     void start();  // requests come from now on, for the world's length
     void surge(double by) { surge_ *= by; }
-    void node_killed(int node);  // its connections are told from others that end
+    void shift(Shift to) { shift_ = to; }
+    // So many connections a second, of clients that send noise, half a request, too much, or nothing; 0: no
+    // more.
+    void misbehave(double per_second);
     std::size_t open() const { return open_; }
     std::size_t connections() const { return connections_.size(); }
     std::uint64_t without_room() const { return without_room_; }  // not asked: all connections were busy
@@ -50,13 +53,23 @@
         net::Task task;
     };
 
+    struct Bad {
+        Bad(net::Scheduler& scheduler, net::Fd fd) : stream(scheduler, std::move(fd)) {}
+        net::Stream stream;
+        net::Task task;
+        bool over = false;
+    };
+
     void arrive(std::uint32_t kind);
+    void next_bad();
+    net::Task annoy(Bad& bad);
     void ask(std::unique_ptr<Asking> asking, bool anew);
     void give(std::unique_ptr<Asking> asking, int node);
     net::Task converse(Connection& connection);
     void broken(Connection& connection, bool answering);
     void end(std::unique_ptr<Asking> asking, How how, bool whole, double in, Time wait,
              const std::string& shards);
+    const std::string& tenant_of(const Asking& asking) const;
     std::string text_of(const Asking& asking) const;
     void answered(std::unique_ptr<Asking> asking, int status, const std::string* retry_after,
                   const std::string& body);
@@ -67,6 +80,9 @@
     const std::vector<net::Endpoint> nodes_;
     const std::size_t most_;
     double surge_ = 1;
+    Shift shift_;
+    double bad_per_second_ = 0;
+    std::list<std::unique_ptr<Bad>> bad_;
     std::uint64_t multigets_ = 0, without_room_ = 0;
     std::size_t open_ = 0;
     std::list<std::unique_ptr<Connection>> connections_;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -66,6 +66,10 @@
         to->add_option("--seed", seed_, "Another seed than the file's")->check(CLI::NonNegativeNumber);
         to->add_option("--set", changes_, "Change the world: servers.count=24, clients.0.per_second=500");
     }
+    std::string program() const {
+        if (!program_.empty()) return program_;
+        return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "pinedoor").string();
+    }
     void add_policy(CLI::App* to) {
         to->add_option("--policy", policy_, "Who decides")->check(CLI::IsMember(policy_names()));
     }
--- a/src/lab/policy.hpp
+++ b/src/lab/policy.hpp
@@ -36,6 +36,7 @@
     FurtherSendTerms further;
     ColdTerms cold;
     ClientTerms clients;
+    std::vector<TenantShare> tenants;
     const Truth* truth = nullptr;
 };
 
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -287,6 +287,10 @@
            "partial ones too.</p>\n";
     table_of_ends(out, "by client", kinds);
     out << "<br>\n";
+    if (!run.ends_by_tenant().empty()) {
+        table_of_ends(out, "by tenant", {run.ends_by_tenant().begin(), run.ends_by_tenant().end()});
+        out << "<br>\n";
+    }
     table_of_ends(out, "by what was wrong when it was asked", troubles);
     out << "<h2>Over time</h2>\n<p>Grey bands are troubles. Each second shows what became of the requests "
            "asked in "
--- a/src/lab/simulation.hpp
+++ b/src/lab/simulation.hpp
@@ -45,7 +45,8 @@
         kLeave,    // the client goes away before that; likewise
         kTrouble,  // which: the trouble, what: 1 for its end
         kSpell,  // of a trouble that comes and goes; which: the trouble, what: the server, era: 1 for its end
-        kHear    // the list reaches a node; which: the node, what: the server
+        kRestart,  // a front node that was told to end may be done; which: the node
+        kHear      // the list reaches a node; which: the node, what: the server
     };
     struct Happening {
         Time at = 0;
@@ -96,6 +97,7 @@
     void bring_up(std::uint32_t server, bool silently);
     void spread(std::uint32_t server);
     void kill_node(std::uint32_t node);
+    void restart_when_done(std::uint32_t node);
     void start_node(std::uint32_t node);
     ListEntry entry(std::uint32_t server) const;
     void release(std::uint32_t slot);
@@ -120,6 +122,7 @@
     std::uint64_t multigets_ = 0, effects_ = 0;
     std::vector<int> cut_;  // zones, by so many troubles
     double surge_ = 1;
+    Shift shift_;
     int discovery_down_ = 0;
     std::set<std::uint32_t> unheard_;  // servers of which discovery has news while it is down
     Totals totals_;
--- a/src/lab/timeline.cpp
+++ b/src/lab/timeline.cpp
@@ -57,6 +57,10 @@
         now.parts += parts;
         parts_ += parts;
         open_[multiget] = std::move(open);
+    } else if (what == "tenant") {
+        std::uint64_t multiget = 0;
+        words >> multiget;
+        if (const auto found = open_.find(multiget); found != open_.end()) words >> found->second.tenant;
     } else if (what == "send") {
         std::string part;
         int server = 0;
@@ -109,8 +113,10 @@
     auto& now = second(open.asked);
     const Time took = at - open.asked;
     const bool late = how == "answer" && took > budgets_[open.kind];
+    Ends alone;  // for who has no tenant
     for (auto* ends :
-         {&now.ends, &by_kind_[open.kind], &by_trouble_[open.troubles.empty() ? "calm" : open.troubles]}) {
+         {&now.ends, &by_kind_[open.kind], open.tenant.empty() ? &alone : &by_tenant_[open.tenant],
+          &by_trouble_[open.troubles.empty() ? "calm" : open.troubles]}) {
         if (how == "answer") ++(more == "whole" ? ends->whole : ends->in_part);
         if (how == "push") ++ends->pushed_back;
         if (how == "fail") ++ends->failed;
--- a/src/lab/timeline.hpp
+++ b/src/lab/timeline.hpp
@@ -49,6 +49,9 @@
     const std::map<int, Ends>& ends_by_kind() const { return by_kind_; }
     // By the troubles that were on when it was asked, "calm" where there was none.
     const std::map<std::string, Ends>& ends_by_trouble() const { return by_trouble_; }
+    const std::map<std::string, Ends>& ends_by_tenant() const {
+        return by_tenant_;
+    }  // empty if there is one alone
     const std::vector<Spell>& troubles() const { return troubles_; }
     const std::map<int, OfServer>& servers() const { return servers_; }
     std::vector<Slow> worst(std::size_t count) const;  // failed, pushed back or late, the worst first
@@ -60,6 +63,7 @@
         int kind = 0;
         Time asked = 0;
         std::string troubles;
+        std::string tenant;
     };
     Second& second(Time at);
     void end(Time at, std::uint64_t multiget, const std::string& how, const std::string& more);
@@ -71,6 +75,7 @@
     std::map<int, Time> budgets_;
     std::map<int, Ends> by_kind_;
     std::map<std::string, Ends> by_trouble_;
+    std::map<std::string, Ends> by_tenant_;
     std::vector<Spell> troubles_;
     std::map<std::string, std::size_t> on_;  // those that are on, to where they stand in troubles_
     std::map<int, OfServer> servers_;
--- /dev/null
+++ b/tests/placement/explore_test.cpp
@@ -0,0 +1,439 @@
+// All interleavings of a move of one shard: a mover, the two boxes, two front nodes that each have something
+// which must not run twice, and messages that are late, lost, repeated and out of order, with crashes and an
+// abort. The very Mover and BoxGuard are played, not a model of them.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <bit>
+#include <deque>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "placement/box_guard.hpp"
+#include "placement/mover.hpp"
+
+namespace {
+
+using namespace pinedoor::placement;
+namespace m = pinedoor::placement::moving;
+
+constexpr BoxId kFrom = 1, kTo = 2;
+constexpr Epoch kBefore = 5;
+
+enum class Kind : std::uint8_t {
+    kKeep,
+    kKept,
+    kCopy,
+    kCopied,
+    kMissing,
+    kMissingIs,
+    kFence,
+    kFenced,
+    kReach,
+    kReached,
+    kPublish,
+    kPublished,
+    kOwn,
+    kOwns,
+    kDrained,
+    kDrainedIs,
+    kDropFrom,
+    kDropTo,
+    kDroppedFrom,
+    kDroppedTo,
+    kUnfence,
+    kUnfenced,
+    kPart,
+    kDone,
+    kRefused
+};
+struct Message {
+    Kind kind;
+    std::uint8_t a = 0, b = 0;
+    auto operator<=>(const Message&) const = default;
+};
+
+struct Faults {               // built in, to see them found
+    bool no_fence = false;    // a box says that it is fenced, and runs on
+    bool no_numbers = false;  // a box takes late requests of a move that has ended
+    bool own_early = false;   // the mover asks `to` to own while it fences
+};
+
+struct State {
+    Mover mover{{7, 1, kFrom, kTo, kBefore, MoveStep::kPrepare}, {0, 1, INT64_MAX}};
+    Move kept{7, 1, kFrom, kTo, kBefore, MoveStep::kPrepare};
+    bool mover_up = true;
+    BoxGuard from{true, kBefore}, to;
+    bool from_up = true, to_up = true;
+    std::uint8_t data_from = 0, data_to = 0;  // whose effects are in
+    bool published = false;
+    struct Node {
+        Epoch epoch = kBefore;
+        char status = 'n';  // not sent, out, done, failed
+        int sends = 2;
+        int runs = 0;
+    } nodes[2];
+    std::set<Message> messages;
+    int crashes = 0, repeats = 0, aborts = 0, losses = 0;
+
+    std::string key() const {
+        std::string text = mover.state() + std::string(name_of(kept.step)) + from.state() + to.state();
+        for (const int each : {int(mover_up), int(from_up), int(to_up), int(data_from), int(data_to),
+                               int(published), crashes, repeats, aborts, losses})
+            text += ',' + std::to_string(each);
+        for (const auto& node : nodes)
+            text += node.status + std::to_string(node.epoch) + '.' + std::to_string(node.sends) +
+                    std::to_string(node.runs);
+        for (const auto& each : messages)
+            for (const int byte : {int(each.kind), int(each.a), int(each.b)})
+                text += static_cast<char>('0' + byte);
+        return text;
+    }
+};
+
+class Explorer {
+public:
+    // How often each may happen in one run, and how many front nodes have something to send.
+    struct May {
+        int nodes = 2, crashes = 0, repeats = 0, aborts = 0, losses = 0;
+    };
+    Explorer(Faults faults, May may) : faults_(faults), may_(may) {}
+
+    // What is broken somewhere, or nothing.
+    std::string run(std::size_t most) {
+        State first;
+        first.crashes = may_.crashes;
+        first.repeats = may_.repeats;
+        first.aborts = may_.aborts;
+        first.losses = may_.losses;
+        if (may_.nodes < 2) first.nodes[1].sends = 0;
+        play(first, first.mover.start(0));
+        add(std::move(first), -1);
+        for (std::size_t at = 0; at < states_.size(); ++at) {
+            if (states_.size() > most) return "too many states";
+            if (const auto what = broken(states_[at]); !what.empty()) return what;
+            next(static_cast<int>(at));
+        }
+        // From everywhere there is a way to the end: no step waits for what cannot come.
+        std::vector<char> ends(states_.size());
+        std::deque<int> back;
+        for (std::size_t i = 0; i < states_.size(); ++i) {
+            if (!states_[i].mover.ended() || !settled(states_[i])) continue;
+            ends[i] = 1;
+            back.push_back(static_cast<int>(i));
+        }
+        while (!back.empty()) {
+            const int at = back.front();
+            back.pop_front();
+            for (const int before : before_[static_cast<std::size_t>(at)]) {
+                if (std::exchange(ends[static_cast<std::size_t>(before)], 1) == 0) back.push_back(before);
+            }
+        }
+        for (std::size_t i = 0; i < states_.size(); ++i) {
+            if (ends[i] == 0) return "no way to the end from " + states_[i].key();
+        }
+        return {};
+    }
+    std::size_t states() const { return states_.size(); }
+    int done = 0, undone = 0;  // states in which the move has ended so
+
+private:
+    // One box runs the shard, and its data has all that anybody was told of.
+    static bool settled(const State& s) {
+        const bool from_runs = s.from.owns() && !s.from.fenced(), to_runs = s.to.owns() && !s.to.fenced();
+        return from_runs != to_runs;
+    }
+    std::string broken(const State& s) {
+        for (const auto& node : s.nodes) {
+            if (node.runs > 1) return "something ran twice";
+        }
+        if (s.from.owns() && !s.from.fenced() && s.to.owns() && !s.to.fenced() &&
+            s.from.epoch() == s.to.epoch())
+            return "two boxes run one epoch";
+        if (!s.mover.ended()) return {};
+        ++(s.mover.move().step == MoveStep::kDone ? done : undone);
+        if (s.messages.contains({Kind::kFence, 0, 0}) || !settled(s)) {
+            // A late fence may still come; what it finds is looked at where it has come.
+            if (!settled(s)) return "the move has ended and nobody, or both, run the shard";
+        }
+        const auto data = s.to.owns() ? s.data_to : s.data_from;
+        for (int i = 0; i < 2; ++i) {
+            if (s.nodes[i].status == 'd' && (data >> i & 1) == 0) return "what was answered is lost";
+        }
+        return {};
+    }
+
+    void add(State state, int from) {
+        auto key = state.key();
+        const auto [found, fresh] = index_.emplace(std::move(key), static_cast<int>(states_.size()));
+        if (fresh) {
+            states_.push_back(std::move(state));
+            before_.emplace_back();
+        }
+        if (from >= 0) before_[static_cast<std::size_t>(found->second)].push_back(from);
+    }
+
+    void play(State& s, const std::vector<m::Action>& actions) const {
+        for (const auto& action : actions) {
+            if (const auto* keep = std::get_if<m::Keep>(&action))
+                s.messages.insert({Kind::kKeep, std::uint8_t(keep->move.step), 0});
+            if (std::holds_alternative<m::AskCopy>(action)) s.messages.insert({Kind::kCopy});
+            if (std::holds_alternative<m::AskMissing>(action)) s.messages.insert({Kind::kMissing});
+            if (std::holds_alternative<m::AskFence>(action)) {
+                s.messages.insert({Kind::kFence});
+                if (faults_.own_early) s.messages.insert({Kind::kOwn});
+            }
+            if (const auto* reach = std::get_if<m::AskReach>(&action))
+                s.messages.insert({Kind::kReach, std::uint8_t(reach->upto)});
+            if (std::holds_alternative<m::Publish>(action)) s.messages.insert({Kind::kPublish});
+            if (std::holds_alternative<m::AskOwn>(action)) s.messages.insert({Kind::kOwn});
+            if (std::holds_alternative<m::AskDrained>(action)) s.messages.insert({Kind::kDrained});
+            if (const auto* drop = std::get_if<m::AskDrop>(&action))
+                s.messages.insert({drop->box == kFrom ? Kind::kDropFrom : Kind::kDropTo});
+            if (std::holds_alternative<m::AskUnfence>(action)) s.messages.insert({Kind::kUnfence});
+        }
+    }
+    void tell(State& s, const m::Event& event) const {
+        if (s.mover_up) play(s, s.mover.take(0, event));
+    }
+
+    // False: whom it is for is not there; it stays.
+    bool deliver(State& s, const Message& what) const {
+        const MoveId move = faults_.no_numbers ? 8 : 7;
+        const auto reply = [&s](Kind kind, int a = 0, int b = 0) {
+            s.messages.insert({kind, std::uint8_t(a), std::uint8_t(b)});
+        };
+        switch (what.kind) {
+            case Kind::kCopy:
+            case Kind::kMissing:
+            case Kind::kReach:
+            case Kind::kOwn:
+            case Kind::kDropTo:
+                if (!s.to_up) return false;
+                break;
+            case Kind::kFence:
+            case Kind::kDrained:
+            case Kind::kDropFrom:
+            case Kind::kUnfence:
+                if (!s.from_up) return false;
+                break;
+            case Kind::kPart:
+                if (!(what.b == kBefore ? s.from_up : s.to_up)) return false;
+                break;
+            case Kind::kDone:
+            case Kind::kRefused:
+            case Kind::kKeep:
+            case Kind::kPublish: break;
+            default:
+                if (!s.mover_up) return false;
+        }
+        switch (what.kind) {
+            case Kind::kKeep:
+                s.kept.step = static_cast<MoveStep>(what.a);
+                reply(Kind::kKept, what.a);
+                break;
+            case Kind::kKept: tell(s, m::Kept{static_cast<MoveStep>(what.a)}); break;
+            case Kind::kCopy:
+                if (!s.from_up || !s.to.copy(move)) break;
+                s.data_to |= s.data_from;
+                reply(Kind::kCopied);
+                break;
+            case Kind::kCopied: tell(s, m::Copied{}); break;
+            case Kind::kMissing:
+                if (!s.from_up || !s.to.has_copy()) break;
+                reply(Kind::kMissingIs, std::popcount(std::uint8_t(s.data_from & ~s.data_to)));
+                s.data_to |= s.data_from;
+                break;
+            case Kind::kMissingIs: tell(s, m::Missing{what.a}); break;
+            case Kind::kFence:
+                if (!faults_.no_fence && !s.from.fence(move, kBefore)) break;
+                reply(Kind::kFenced, std::popcount(s.data_from));
+                break;
+            case Kind::kFenced: tell(s, m::Fenced{what.a}); break;
+            case Kind::kReach:
+                if (!s.from_up || !s.to.has_copy()) break;
+                s.data_to |= s.data_from;
+                reply(Kind::kReached, what.a);
+                break;
+            case Kind::kReached: tell(s, m::Reached{what.a}); break;
+            case Kind::kPublish:
+                s.published = true;
+                reply(Kind::kPublished);
+                break;
+            case Kind::kPublished: tell(s, m::Published{}); break;
+            case Kind::kOwn:
+                if (s.to.own(move, kBefore + 1)) reply(Kind::kOwns);
+                break;
+            case Kind::kOwns: tell(s, m::Owns{}); break;
+            case Kind::kDrained: reply(Kind::kDrainedIs); break;
+            case Kind::kDrainedIs: tell(s, m::Drained{}); break;
+            case Kind::kDropFrom:
+                if (!s.from.drop(faults_.no_fence ? 100 : move, kBefore + 1) && !faults_.no_fence) break;
+                s.data_from = 0;
+                reply(Kind::kDroppedFrom);
+                break;
+            case Kind::kDropTo:
+                if (!s.to.drop(7)) break;
+                s.data_to = 0;
+                reply(Kind::kDroppedTo);
+                break;
+            case Kind::kDroppedFrom: tell(s, m::Dropped{kFrom}); break;
+            case Kind::kDroppedTo: tell(s, m::Dropped{kTo}); break;
+            case Kind::kUnfence:
+                s.from.unfence(7);
+                if (faults_.no_numbers) s.from.unfence(8), s.from = BoxGuard(true, kBefore);
+                reply(Kind::kUnfenced);
+                break;
+            case Kind::kUnfenced: tell(s, m::Unfenced{}); break;
+            case Kind::kPart: {
+                auto& node = s.nodes[what.a];
+                auto& guard = what.b == kBefore ? s.from : s.to;
+                const auto verdict = guard.may_run(what.b);
+                if (verdict.run) {
+                    ++node.runs;
+                    (what.b == kBefore ? s.data_from : s.data_to) |= std::uint8_t(1U << what.a);
+                    reply(Kind::kDone, what.a);
+                } else {
+                    reply(Kind::kRefused, what.a, int(verdict.known));
+                }
+                break;
+            }
+            case Kind::kDone:
+                if (s.nodes[what.a].status == 'o') s.nodes[what.a].status = 'd';
+                break;
+            case Kind::kRefused: {  // it never ran: it may go where the newer epoch says
+                auto& node = s.nodes[what.a];
+                if (node.status != 'o') break;
+                node.epoch = std::max<Epoch>(node.epoch, what.b);
+                node.status = 'n';
+                break;
+            }
+        }
+        return true;
+    }
+
+    void next(int at) {
+        const auto here = states_[static_cast<std::size_t>(at)];
+        for (const auto& message : here.messages) {
+            auto taken = here;
+            taken.messages.erase(message);
+            if (deliver(taken, message)) {
+                add(taken, at);
+                // A request of the mover comes once more, later; parts go over streams, which repeat nothing.
+                const bool of_node = message.kind == Kind::kPart || message.kind == Kind::kDone ||
+                                     message.kind == Kind::kRefused;
+                if (here.repeats > 0 && !of_node) {
+                    taken.messages.insert(message);
+                    --taken.repeats;
+                    add(std::move(taken), at);
+                }
+            }
+            if (message.kind == Kind::kKeep || message.kind == Kind::kKept) continue;  // a disk loses nothing
+            if (here.losses == 0) continue;
+            auto lost = here;
+            --lost.losses;
+            lost.messages.erase(message);
+            if (message.kind == Kind::kRefused || message.kind == Kind::kDone ||
+                message.kind == Kind::kPart) {
+                // Its node's time runs out: it has failed, and is not sent again.
+                lost.nodes[message.a].status =
+                    lost.nodes[message.a].status == 'o' ? 'f' : lost.nodes[message.a].status;
+            }
+            add(std::move(lost), at);
+        }
+        // A request is asked again once nothing of the move is on its way: what is late beside it is a
+        // repeat, above.
+        const bool quiet = std::all_of(here.messages.begin(), here.messages.end(),
+                                       [](const Message& each) { return each.kind >= Kind::kPart; });
+        if (quiet && here.mover_up && !here.mover.ended()) {
+            auto later = here;
+            play(later, later.mover.take(1'000'000, m::Tick{}));
+            later.mover.take(0, m::Resume{});
+            add(std::move(later), at);
+        }
+        if (here.aborts > 0 && here.mover_up) {
+            auto aborted = here;
+            --aborted.aborts;
+            tell(aborted, m::AbortAsked{});
+            add(std::move(aborted), at);
+        }
+        for (int who = 0; who < 3 && here.crashes > 0; ++who) {
+            auto crashed = here;
+            --crashed.crashes;
+            if (who == 0) {
+                if (here.mover.ended()) continue;
+                crashed.mover_up = false;
+                std::erase_if(crashed.messages, [](const Message& each) {
+                    return each.kind == Kind::kKeep || each.kind == Kind::kKept;
+                });
+            }
+            if (who == 1) crashed.from_up = false;
+            if (who == 2) crashed.to_up = false;
+            add(std::move(crashed), at);
+        }
+        if (!here.mover_up || !here.from_up || !here.to_up) {
+            auto back = here;
+            if (!here.mover_up) {
+                back.mover = Mover(here.kept, {0, 1, INT64_MAX});
+                back.mover_up = true;
+                play(back, back.mover.start(0));
+            }
+            back.from_up = back.to_up = true;
+            add(std::move(back), at);
+        }
+        for (int i = 0; i < 2; ++i) {
+            const auto& node = here.nodes[i];
+            if (node.status == 'n' && node.sends > 0) {
+                auto sent = here;
+                sent.nodes[i].status = 'o';
+                --sent.nodes[i].sends;
+                sent.messages.insert({Kind::kPart, std::uint8_t(i), std::uint8_t(node.epoch)});
+                add(std::move(sent), at);
+            }
+            if (here.published && node.epoch == kBefore) {  // it hears of the new map
+                auto heard = here;
+                heard.nodes[i].epoch = kBefore + 1;
+                add(std::move(heard), at);
+            }
+        }
+    }
+
+    const Faults faults_;
+    const May may_;
+    std::vector<State> states_;
+    std::vector<std::vector<int>> before_;
+    std::unordered_map<std::string, int> index_;
+};
+
+TEST_CASE(
+    "a move in every order of its messages: nothing runs twice, nothing answered is lost, it always can "
+    "end") {
+    int done = 0, undone = 0;
+    std::size_t states = 0;
+    for (const auto& may :
+         {Explorer::May{2, 0, 0, 1, 0}, {1, 0, 0, 0, 1}, {1, 1, 0, 0, 0}, {1, 0, 1, 1, 0}}) {
+        Explorer explorer({}, may);
+        CAPTURE(may.nodes);
+        CAPTURE(may.crashes);
+        CAPTURE(may.repeats);
+        CHECK(explorer.run(400'000) == "");
+        MESSAGE("states: " << explorer.states());
+        done += explorer.done;
+        undone += explorer.undone;
+        states += explorer.states();
+    }
+    CHECK(states > 5'000);
+    CHECK(done > 0);
+    CHECK(undone > 0);
+}
+
+TEST_CASE(
+    "the explorer finds the fault when the fence is taken out, numbers are passed over, or Own comes early") {
+    CHECK(Explorer({true, false, false}, {1, 0, 0, 0, 0}).run(400'000) != "");
+    CHECK(Explorer({false, true, false}, {1, 0, 1, 1, 0}).run(400'000) != "");
+    CHECK(Explorer({false, false, true}, {1, 0, 0, 1, 0}).run(400'000) != "");
+}
+
+}  // namespace
