pinedoor-lab watch: the command that ./dev demo runs

The demonstration's command had been written and documented but its word was missing, so ./dev demo would have ended with 2.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -97,12 +97,13 @@
         live->add_option("--log", run_.log, "Write what happens, a line each, to this file");
         live->add_flag("--check", run_.check, "Check the six rules by the log; exit 3 if one is broken");
         live->add_flag("--json", run_.json, "One JSON object");
-        live->callback([this] {
-            if (program_.empty())
-                program_ =
-                    (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "pinedoor").string();
-            code_ = pinedoor::lab::live(world(), program_, connections_, run_);
-        });
+        live->callback([this] { code_ = pinedoor::lab::live(world(), program(), connections_, run_); });
+        auto* watch =
+            app.add_subcommand("watch", "Play a world on sockets to look at, with a report at the end");
+        add_world(watch);
+        watch->add_option("--program", program_, "pinedoor; else the one beside this program");
+        watch->add_option("--out", out_, "The report")->capture_default_str();
+        watch->callback([this] { code_ = pinedoor::lab::watch(world(), program(), out_); });
         auto* judge = app.add_subcommand("judge", "Check the six rules by a log that was written");
         judge->add_option("log", path_, "The log of a run")->required();
         judge->callback([this] { code_ = judge_log(path_); });
