The laboratory's ports stay its own while a server is down; libpq stays loaded

A server, list or front node of the laboratory that was down left its port free, and another world's listener or an outgoing connection could take it: starts failed, requests went to strangers or nowhere. And libpq was unloaded while OpenSSL kept what it had registered there, which the leak checker told of.

Change: HeldPort keeps each port bound, never listened on, for the whole run; libpq is loaded with RTLD_NODELETE.

--- a/src/lab/live.cpp
+++ b/src/lab/live.cpp
@@ -26,18 +26,9 @@
 
 constexpr Time kSecond = 10'000;
 constexpr Time kDrain = 5'000;
-constexpr std::uint32_t kLoopback = 0x7f000001;
 constexpr int kPatienceMs = 6'000;  // with a front node that was told to end
 constexpr Time kMoreTime = 500;     // each limit of the rules, on sockets (PROTOCOL, "The rules on sockets")
 
-net::Endpoint free_endpoint() {
-    const auto fd = net::listen_on({kLoopback, 0});
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(fd.get(), reinterpret_cast<sockaddr*>(&address), &size);
-    return {kLoopback, ntohs(address.sin_port)};
-}
-
 bool accepts(net::Endpoint at) {
     const net::Fd fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     sockaddr_in address{};
@@ -131,7 +122,8 @@
         for (int i = 0; i < world.nodes; ++i) {
             lists_.push_back(std::make_unique<LiveList>(scheduler_, agenda_));
             lists_.back()->set(members(i));
-            at_.push_back(free_endpoint());
+            ports_.push_back(std::make_unique<HeldPort>());
+            at_.push_back(ports_.back()->at());
             processes_.push_back(std::make_unique<Process>());
             start_node(i);
         }
@@ -391,6 +383,7 @@
     Folder folder_;
     std::vector<std::unique_ptr<LiveServer>> servers_;
     std::vector<std::unique_ptr<LiveList>> lists_;  // by front node
+    std::vector<std::unique_ptr<HeldPort>> ports_;  // of the front nodes
     std::vector<net::Endpoint> at_;
     std::vector<std::unique_ptr<Process>> processes_;
     std::unique_ptr<LiveClients> clients_;
--- a/src/lab/live_list.cpp
+++ b/src/lab/live_list.cpp
@@ -1,8 +1,5 @@
 #include "lab/live_list.hpp"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cstdio>
 
@@ -10,7 +7,6 @@
 namespace {
 
 constexpr net::Moment kBeat = 10'000;
-constexpr std::uint32_t kLoopback = 0x7f000001;
 
 std::string chunk(const std::string& text) {
     char size[20];
@@ -38,17 +34,12 @@
 }
 
 LiveList::LiveList(net::Scheduler& scheduler, Agenda& agenda) : scheduler_(scheduler), agenda_(agenda) {
-    at_ = {kLoopback, 0};
     open();
     beat();
 }
 
 void LiveList::open() {
-    listener_ = net::listen_on(at_);
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address), &size);
-    at_.port = ntohs(address.sin_port);
+    listener_ = net::listen_on(port_.at());
     waiter_ = std::make_unique<net::Waiter>(scheduler_, listener_.get());
     task_ = accept();
     task_.start([this](std::exception_ptr failure) {
--- a/src/lab/live_list.hpp
+++ b/src/lab/live_list.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lab/agenda.hpp"
+#include "lab/held_port.hpp"
 #include "net/stream.hpp"
 #include "parse/http.hpp"
 
@@ -27,7 +28,7 @@
 public:
     LiveList(net::Scheduler& scheduler, Agenda& agenda);
 
-    net::Endpoint at() const { return at_; }
+    net::Endpoint at() const { return port_.at(); }
     void set(std::vector<LiveMember> members) { members_ = std::move(members); }
     void change(const LiveMember& member);  // told to who watches, if it is up
     void go_down();                         // connections end, new ones are refused
@@ -50,7 +51,7 @@
 
     net::Scheduler& scheduler_;
     Agenda& agenda_;
-    net::Endpoint at_;
+    HeldPort port_;
     int revision_ = 1;
     std::vector<LiveMember> members_;
     net::Fd listener_;
--- a/src/lab/live_server.cpp
+++ b/src/lab/live_server.cpp
@@ -13,15 +13,6 @@
 namespace {
 
 constexpr std::size_t kLargestFrame = 1U << 20U;
-constexpr std::uint32_t kLoopback = 0x7f000001;
-
-net::Endpoint bound_to(const net::Fd& fd) {
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(fd.get(), reinterpret_cast<sockaddr*>(&address), &size);
-    return {ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)};
-}
-
 // The multiget's number and the shard in "17n3.5", and the front node's.
 struct PartName {
     std::uint64_t multiget = 0;
@@ -47,14 +38,14 @@
 }
 
 LiveServer::Door::Door(net::Scheduler& scheduler, net::Endpoint where)
-    : fd(net::listen_on(where)), at(bound_to(fd)), waiter(scheduler, fd.get()) {}
+    : fd(net::listen_on(where)), waiter(scheduler, fd.get()) {}
 
 LiveServer::LiveServer(net::Scheduler& scheduler, Agenda& agenda, LiveBook& book, int index)
     : scheduler_(scheduler), agenda_(agenda), book_(book), index_(index),
       zone_(book.world.zone_of_server(index)), model_(book.world.servers.cores, book.world.servers.queue) {
     condition_.keys.resize(static_cast<std::size_t>(book.world.servers.keys_held));
     doors_.resize(static_cast<std::size_t>(book.world.zones));
-    at_.resize(doors_.size(), {kLoopback, 0});
+    ports_ = std::vector<HeldPort>(doors_.size());
     open_doors();
 }
 
@@ -62,8 +53,7 @@
     for (std::size_t zone = 0; zone < doors_.size(); ++zone) {
         auto& door = doors_[zone];
         if (door) continue;
-        door = std::make_unique<Door>(scheduler_, at_[zone]);
-        at_[zone] = door->at;
+        door = std::make_unique<Door>(scheduler_, ports_[zone].at());
         door->task = accept(*door, static_cast<int>(zone));
         door->task.start([this](std::exception_ptr failure) {
             if (failure) scheduler_.defer([failure] { std::rethrow_exception(failure); });
--- a/src/lab/live_server.hpp
+++ b/src/lab/live_server.hpp
@@ -11,6 +11,7 @@
 
 #include "lab/agenda.hpp"
 #include "lab/condition.hpp"
+#include "lab/held_port.hpp"
 #include "lab/server_model.hpp"
 #include "lab/totals.hpp"
 #include "net/stream.hpp"
@@ -48,7 +49,7 @@
 public:
     LiveServer(net::Scheduler& scheduler, Agenda& agenda, LiveBook& book, int index);
 
-    net::Endpoint at(int zone) const { return at_[static_cast<std::size_t>(zone)]; }
+    net::Endpoint at(int zone) const { return ports_[static_cast<std::size_t>(zone)].at(); }
     const Condition& condition() const { return condition_; }
     void befall(const Trouble& trouble, bool begins);  // of those that do not take it down
     void take_down(bool silently);  // it dies, or vanishes: then it says nothing, and resets nothing
@@ -59,7 +60,6 @@
     struct Door {
         explicit Door(net::Scheduler& scheduler, net::Endpoint where);
         net::Fd fd;
-        net::Endpoint at;
         net::Waiter waiter;
         net::Task task;
     };
@@ -106,7 +106,7 @@
     std::vector<Job> held_;
     Job last_job_ = 0;
     std::uint64_t last_link_ = 0;
-    std::vector<net::Endpoint> at_;             // by zone; kept over a crash
+    std::vector<HeldPort> ports_;               // by zone; kept over a crash
     std::vector<std::unique_ptr<Door>> doors_;  // by zone; null while it is down
     std::unordered_map<std::uint64_t, std::unique_ptr<Link>> links_;
 };
--- a/src/store/pq.cpp
+++ b/src/store/pq.cpp
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-Pq::Pq() : library_(dlopen("libpq.so.5", RTLD_NOW | RTLD_LOCAL)) {
+// It stays loaded to the end: OpenSSL keeps what libpq registered there once.
+Pq::Pq() : library_(dlopen("libpq.so.5", RTLD_NOW | RTLD_LOCAL | RTLD_NODELETE)) {
     if (library_ == nullptr) {
         throw SqlError(Kind::kStore, std::string("libpq cannot be loaded (") + dlerror() +
                                          "); install Debian's package libpq5");
--- a/tests/lab_live_test.cpp
+++ b/tests/lab_live_test.cpp
@@ -1,6 +1,8 @@
 // The laboratory on sockets: real front nodes, every kind of trouble, and front nodes that die, hang or never
 // come.
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 
 #include <fstream>
@@ -9,6 +11,7 @@
 
 #include "lab/checker.hpp"
 #include "lab/experiment.hpp"
+#include "lab/held_port.hpp"
 #include "lab/live.hpp"
 #include "lab/simulation.hpp"
 #include "lab/timeline.hpp"
@@ -130,6 +133,27 @@
     }
 }
 
+TEST_CASE("the port of a server that is down stays its own") {
+    const HeldPort port;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port.at().port);
+    address.sin_addr.s_addr = htonl(port.at().address);
+    const auto* const there = reinterpret_cast<const sockaddr*>(&address);
+    const auto refused = [there] {
+        const net::Fd fd(socket(AF_INET, SOCK_STREAM, 0));
+        return connect(fd.get(), there, sizeof(sockaddr_in)) != 0 && errno == ECONNREFUSED;
+    };
+    for (int life = 0; life < 2; ++life) {
+        CHECK(refused());
+        const net::Fd other(socket(AF_INET, SOCK_STREAM, 0));
+        CHECK(bind(other.get(), there, sizeof(sockaddr_in)) != 0);
+        CHECK(errno == EADDRINUSE);
+        const auto server = net::listen_on(port.at());
+        CHECK(!refused());
+    }
+}
+
 TEST_CASE("a calm world on sockets is served as in simulated time") {
     const auto seen = play(kLive);
     const auto simulated = Simulation(World::from_text(kLive, "live.toml")).run();
