Laboratory: what must not run twice is not asked again once written

Change: asked again only if not a byte was written, or if the op type may run twice (RFC 9110, 9.2.2).

--- a/src/lab/live_clients.cpp
+++ b/src/lab/live_clients.cpp
@@ -178,7 +178,10 @@
             if (waiter.may(net::kRead)) {
                 const auto got = stream.read();
                 if (got == net::Stream::Got::kEnd || got == net::Stream::Got::kBroken) {
-                    broken(connection, reader.started() || !connection.used);
+                    // What must not run twice is asked again only if not a byte of it was written.
+                    const auto repeat = book_.world.clients[connection.asking->request.kind].type.repeat;
+                    const bool may_run = written > 0 && repeat == Repeat::kNonRetriable;
+                    broken(connection, reader.started() || !connection.used || may_run);
                     co_return;
                 }
                 auto& buffer = stream.buffer();
@@ -186,7 +189,8 @@
                 body += reader.take_body();
             }
             if (stream.broken() || reader.state() == parse::HttpReader::State::kBad) {
-                broken(connection, reader.started());
+                const auto repeat = book_.world.clients[connection.asking->request.kind].type.repeat;
+                broken(connection, reader.started() || (written > 0 && repeat == Repeat::kNonRetriable));
                 co_return;
             }
             if (reader.state() == parse::HttpReader::State::kDone) break;
@@ -254,7 +258,7 @@
 }
 
 // It ended without an answer. One that was never up, or that the front node closed between two requests, has
-// taken nothing: the request goes elsewhere.
+// taken nothing: the request goes elsewhere (RFC 9110, 9.2.2).
 void LiveClients::broken(Connection& connection, bool taken) {
     auto asking = std::move(connection.asking);
     if (!taken && ++asking->connects < kMostConnects) {
