--- /dev/null
+++ b/src/placement/gatherer.cpp
@@ -0,0 +1,361 @@
+#include "placement/gatherer.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace pinedoor::placement {
+
+using namespace gathering;
+
+namespace {
+constexpr double kRounding = 1e-9;  // in sums of weights
+}
+
+std::pair<Key, Key> Gatherer::keys_of(int split, std::uint64_t splits) {
+    const Key width = std::numeric_limits<Key>::max() / splits;
+    const auto at = static_cast<Key>(split);
+    return {at * width, at + 1 == splits ? std::numeric_limits<Key>::max() : (at + 1) * width - 1};
+}
+
+const Piece* Gatherer::piece(Route route) const {
+    const auto at = routes_.find(route);
+    return at == routes_.end() ? nullptr : &multigets_.at(at->second.number).pieces[at->second.piece].piece;
+}
+
+const Piece* Gatherer::sending(Route route) {
+    const auto at = routes_.find(route);
+    if (at == routes_.end()) return nullptr;
+    auto& piece = multigets_.at(at->second.number).pieces[at->second.piece].piece;
+    piece.epoch = epoch_now(piece);
+    return &piece;
+}
+
+// The shard with this id as it is now, if the piece's keys are all in it.
+Epoch Gatherer::epoch_now(const Piece& piece) const {
+    if (!map_) return piece.epoch;
+    const auto& shard = map_->at(piece.first);
+    return shard.id == piece.shard && shard.holds(piece.last) ? shard.epoch : piece.epoch;
+}
+
+std::vector<BoxId> Gatherer::boxes_now(const Piece& piece) const {
+    const auto route = routes_.find(piece.route);
+    if (!map_ || route == routes_.end()) return piece.boxes;
+    const auto& shard = map_->at(piece.first);
+    if (shard.id != piece.shard || !shard.holds(piece.last)) return piece.boxes;
+    const bool readers = type_of(multigets_.at(route->second.number)).readers;
+    std::vector<BoxId> boxes;
+    for (const auto& each : shard.replicas) {
+        if (readers || each.role == Role::kOwner) boxes.push_back(each.box);
+    }
+    return boxes;
+}
+
+// One piece for each shard that holds some of the keys; the weight is divided by their width.
+std::vector<Piece> Gatherer::cut(const Multiget& multiget, std::size_t split, Key first, Key last,
+                                 double weight) const {
+    std::vector<Piece> pieces;
+    const double width = static_cast<double>(last - first) + 1;
+    double left = weight;
+    for (Key from = first;;) {
+        const auto& shard = map_->at(from);
+        Piece piece;
+        piece.split = split;
+        piece.shard = shard.id;
+        piece.epoch = shard.epoch;
+        piece.first = from;
+        piece.last = std::min(last, shard.last);
+        for (const auto& each : shard.replicas) {
+            if (type_of(multiget).readers || each.role == Role::kOwner) piece.boxes.push_back(each.box);
+        }
+        const bool is_last = piece.last == last;
+        piece.weight = is_last ? left : weight * ((static_cast<double>(piece.last - from) + 1) / width);
+        left -= piece.weight;
+        pieces.push_back(std::move(piece));
+        if (is_last) return pieces;
+        from = shard.last + 1;
+    }
+}
+
+Route Gatherer::new_route() {
+    do last_route_ = last_route_ == std::numeric_limits<Route>::max() ? 1 : last_route_ + 1;
+    while (routes_.contains(last_route_));
+    return last_route_;
+}
+
+void Gatherer::ask_leg(Number number, Multiget& multiget, std::vector<Piece> pieces) {
+    auto& routes = multiget.legs[++multiget.last_leg];
+    for (auto& piece : pieces) {
+        piece.route = new_route();
+        routes.push_back(piece.route);
+        routes_[piece.route] = {number, multiget.pieces.size()};
+        multiget.pieces.push_back({piece, Held::State::kOut, {}, PieceFate::kNeverSent, 0, 0});
+        ++counted_.pieces;
+    }
+    actions_.emplace_back(AskLeg{number, multiget.last_leg, std::move(pieces)});
+}
+
+Gatherer::Actions Gatherer::ask(Time now, Number number, GatherAsked asked) {
+    Multiget multiget;
+    multiget.budget_ends = now + terms_.op_types[static_cast<std::size_t>(asked.op_type)].latency_budget;
+    multiget.asked = std::move(asked);
+    std::vector<Piece> pieces;
+    for (std::size_t s = 0; map_ && s < multiget.asked.splits.size(); ++s) {
+        const auto& each = multiget.asked.splits[s];
+        const auto [first, last] = keys_of(each.split, terms_.splits);
+        auto cut_now = cut(multiget, s, first, last, each.weight);
+        counted_.divided += cut_now.size() > 1 ? 1 : 0;
+        pieces.insert(pieces.end(), std::make_move_iterator(cut_now.begin()),
+                      std::make_move_iterator(cut_now.end()));
+    }
+    while (!sent_.empty() && sent_.front().at <= now - terms_.further_look_back) sent_.pop_front();
+    sent_.push_back({now, pieces.size(), 0});
+    if (pieces.empty() || pieces.size() > terms_.most_pieces) {
+        // Without a map nothing can be sent; nothing has been.
+        std::vector<std::pair<int, PieceFate>> fates;
+        for (const auto& each : multiget.asked.splits) fates.emplace_back(each.split, PieceFate::kNeverSent);
+        actions_.emplace_back(End{number, LegEnd::Kind::kPushedBack, false, 0, {}, std::move(fates)});
+        return std::exchange(actions_, {});
+    }
+    auto& held = multigets_[number] = std::move(multiget);
+    ask_leg(number, held, std::move(pieces));
+    return std::exchange(actions_, {});
+}
+
+// Is the map at or beyond what the box knew? Then where the keys are now is worth asking.
+bool Gatherer::map_knows(const Held& held) const {
+    const auto& piece = held.piece;
+    for (Key from = piece.first;;) {
+        const auto& shard = map_->at(from);
+        if (shard.id == piece.shard && shard.epoch < std::max(held.known, piece.epoch)) return false;
+        if (shard.last >= piece.last) return true;
+        from = shard.last + 1;
+    }
+}
+
+bool Gatherer::may_ask_again(Time now, std::size_t pieces) {
+    if (terms_.further_look_back == 0) return true;
+    while (!sent_.empty() && sent_.front().at <= now - terms_.further_look_back) sent_.pop_front();
+    double taken = 0, again = static_cast<double>(pieces);
+    for (const auto& each : sent_) {
+        taken += static_cast<double>(each.taken);
+        again += static_cast<double>(each.again);
+    }
+    return again <= terms_.further_floor + terms_.further_ratio * taken;
+}
+
+// Asks for what waits and whose place is known by now, as one further leg.
+void Gatherer::ask_again(Time now, Number number, Multiget& multiget) {
+    std::vector<Piece> pieces;
+    for (auto& held : multiget.pieces) {
+        if (held.state != Held::State::kWaits || !map_knows(held)) continue;
+        const bool box_behind = held.known <= held.piece.epoch && epoch_now(held.piece) == held.piece.epoch;
+        if (box_behind && now < held.refused_at + terms_.ask_again) {
+            actions_.emplace_back(Wake{held.refused_at + terms_.ask_again});
+            continue;
+        }
+        auto again = cut(multiget, held.piece.split, held.piece.first, held.piece.last, held.piece.weight);
+        const bool room = multiget.last_leg + 1 < terms_.most_legs &&
+                          multiget.pieces.size() + pieces.size() + again.size() <= terms_.most_pieces;
+        if (!room || !may_ask_again(now, again.size())) {
+            held.state = Held::State::kLost;
+            ++counted_.given_up;
+            continue;
+        }
+        held.state = Held::State::kAgain;
+        counted_.asked_again += again.size();
+        sent_.push_back({now, 0, again.size()});
+        pieces.insert(pieces.end(), std::make_move_iterator(again.begin()),
+                      std::make_move_iterator(again.end()));
+    }
+    if (!pieces.empty()) ask_leg(number, multiget, std::move(pieces));
+}
+
+Gatherer::Actions Gatherer::refused(Time now, Route route, Epoch known) {
+    const auto at = routes_.find(route);
+    if (at == routes_.end()) return {};
+    const auto number = at->second.number;
+    auto& multiget = multigets_.at(number);
+    auto& held = multiget.pieces[at->second.piece];
+    if (held.state != Held::State::kOut) return {};
+    ++counted_.refused;
+    held.state = Held::State::kWaits;
+    held.known = known;
+    held.refused_at = now;
+    if (!map_knows(held)) actions_.emplace_back(WantMap{held.piece.shard, known});
+    ask_again(now, number, multiget);
+    settle(now, number);
+    return std::exchange(actions_, {});
+}
+
+Gatherer::Actions Gatherer::map_is(Time now, std::shared_ptr<const ShardMap> map) {
+    map_ = std::move(map);
+    std::vector<Number> waiting;
+    for (const auto& [number, multiget] : multigets_) {
+        const auto waits = [](const Held& held) { return held.state == Held::State::kWaits; };
+        if (std::any_of(multiget.pieces.begin(), multiget.pieces.end(), waits)) waiting.push_back(number);
+    }
+    for (const auto number : waiting) {
+        ask_again(now, number, multigets_.at(number));
+        settle(now, number);
+    }
+    return std::exchange(actions_, {});
+}
+
+Gatherer::Actions Gatherer::tick(Time now) { return map_is(now, map_); }
+
+Gatherer::Actions Gatherer::leg_ended(Time now, Number number, int leg, LegEnd told) {
+    const auto at = multigets_.find(number);
+    if (at == multigets_.end()) return {};
+    auto& multiget = at->second;
+    const auto open = multiget.legs.find(leg);
+    if (open == multiget.legs.end()) return {};
+    const auto held_of = [&](Route route) -> Held* {
+        const auto place = routes_.find(route);
+        return place == routes_.end() ? nullptr : &multiget.pieces[place->second.piece];
+    };
+    for (auto& [route, fate] : told.fates) {
+        if (auto* held = held_of(route)) held->fate = fate;
+    }
+    for (auto& [route, value] : told.values) {
+        auto* held = held_of(route);
+        if (held == nullptr || held->state != Held::State::kOut) continue;
+        held->state = Held::State::kIn;
+        held->value = std::move(value);
+    }
+    for (const auto route : open->second) {
+        if (auto* held = held_of(route); held != nullptr && held->state == Held::State::kOut)
+            held->state = Held::State::kLost;
+        routes_.erase(route);
+    }
+    multiget.legs.erase(open);
+    if (told.kind != LegEnd::Kind::kAnswered) {
+        const bool pushed_back = told.kind == LegEnd::Kind::kPushedBack;
+        (pushed_back ? multiget.any_pushed_back : multiget.any_failed) = true;
+        multiget.wait = std::max(multiget.wait, told.wait);
+    }
+    settle(now, number);
+    return std::exchange(actions_, {});
+}
+
+Gatherer::Standing Gatherer::standing(const Multiget& multiget) const {
+    std::vector<bool> lost(multiget.asked.splits.size()), open(lost.size());
+    for (const auto& held : multiget.pieces) {
+        lost[held.piece.split] = lost[held.piece.split] || held.state == Held::State::kLost;
+        open[held.piece.split] =
+            open[held.piece.split] || held.state == Held::State::kOut || held.state == Held::State::kWaits;
+    }
+    Standing sum;
+    for (std::size_t s = 0; s < lost.size(); ++s) {
+        if (lost[s]) continue;
+        (open[s] ? sum.may_come : sum.in) += multiget.asked.splits[s].weight;
+    }
+    return sum;
+}
+
+// Ends a multiget once nothing more can come, or what can come cannot make an answer any more, or what it
+// waits for is a map that has not come in its time.
+void Gatherer::settle(Time now, Number number) {
+    auto& multiget = multigets_.at(number);
+    const auto least = type_of(multiget).least_share;
+    const auto now_is = standing(multiget);
+    bool waits = false;
+    for (const auto& held : multiget.pieces) waits = waits || held.state == Held::State::kWaits;
+    if (!waits && multiget.legs.empty()) return end(number, multiget);
+    if (now_is.in + now_is.may_come < least - kRounding) return end(number, multiget);
+    if (!waits || !multiget.legs.empty()) return;  // the module ends the legs, each in its time
+    const bool enough = now_is.in >= least - kRounding;
+    const Time until = std::min(enough ? multiget.budget_ends : multiget.asked.not_after,
+                                multiget.asked.not_after - terms_.answer_grace);
+    if (now >= until) return end(number, multiget);
+    actions_.emplace_back(Wake{until});
+}
+
+std::vector<std::pair<int, PieceFate>> Gatherer::fates_of(const Multiget& multiget) const {
+    std::vector<std::set<PieceFate>> seen(multiget.asked.splits.size());
+    for (const auto& held : multiget.pieces) {
+        if (held.state != Held::State::kAgain) seen[held.piece.split].insert(held.fate);
+    }
+    std::vector<std::pair<int, PieceFate>> fates;
+    for (std::size_t s = 0; s < seen.size(); ++s) {
+        // Some pieces ran and some did not: of the split it can only be said that it may have run.
+        const auto fate = seen[s].size() == 1 ? *seen[s].begin() : PieceFate::kMayHaveRun;
+        fates.emplace_back(multiget.asked.splits[s].split, fate);
+    }
+    return fates;
+}
+
+void Gatherer::end(Number number, Multiget& multiget) {
+    for (const auto& [leg, routes] : multiget.legs) {
+        actions_.emplace_back(LeaveLeg{number, leg});
+        for (const auto route : routes) routes_.erase(route);
+        multiget.any_failed = true;  // what is out may have run
+    }
+    End ending;
+    ending.number = number;
+    double in = 0;
+    const auto& type = type_of(multiget);
+    for (std::size_t s = 0; s < multiget.asked.splits.size(); ++s) {
+        std::vector<std::pair<Key, const std::string*>> found;
+        bool all = true;
+        for (const auto& held : multiget.pieces) {
+            if (held.piece.split != s || held.state == Held::State::kAgain) continue;
+            all = all && held.state == Held::State::kIn;
+            found.emplace_back(held.piece.first, &held.value);
+        }
+        if (!all) continue;
+        std::sort(found.begin(), found.end());
+        std::vector<std::string> values;
+        for (const auto& [key, value] : found) values.push_back(*value);
+        auto merged = merge_values(type.merge, values);
+        if (!merged) {
+            ++counted_.unmerged;
+            multiget.any_failed = true;  // it ran, and asking again would bring the same
+            continue;
+        }
+        in += multiget.asked.splits[s].weight;
+        ending.values.emplace_back(multiget.asked.splits[s].split, std::move(*merged));
+    }
+    ending.fates = fates_of(multiget);
+    const bool none_ran = std::all_of(ending.fates.begin(), ending.fates.end(),
+                                      [](const auto& each) { return each.second == PieceFate::kNeverSent; });
+    if (!ending.values.empty() && in >= type.least_share - kRounding) {
+        ending.kind = LegEnd::Kind::kAnswered;
+        ending.whole = in >= type.whole_share - kRounding;
+    } else {
+        ending.values.clear();
+        // Pushed back: nothing ran, or it may run as often as it likes and was turned away.
+        const bool pushed_back =
+            !multiget.any_failed && (none_ran || (type.readers && multiget.any_pushed_back));
+        ending.kind = pushed_back ? LegEnd::Kind::kPushedBack : LegEnd::Kind::kFailed;
+        ending.wait = multiget.wait;
+    }
+    actions_.emplace_back(std::move(ending));
+    multigets_.erase(number);
+}
+
+std::vector<int> Gatherer::open_legs(Number number) const {
+    std::vector<int> legs;
+    const auto at = multigets_.find(number);
+    if (at == multigets_.end()) return legs;
+    for (const auto& [leg, routes] : at->second.legs) legs.push_back(leg);
+    return legs;
+}
+
+std::vector<std::pair<int, PieceFate>> Gatherer::left(Number number,
+                                                      const std::vector<std::pair<Route, PieceFate>>& fates) {
+    const auto at = multigets_.find(number);
+    if (at == multigets_.end()) return {};
+    for (const auto& [route, fate] : fates) {
+        const auto place = routes_.find(route);
+        if (place != routes_.end()) at->second.pieces[place->second.piece].fate = fate;
+    }
+    auto known = fates_of(at->second);
+    for (const auto& [leg, routes] : at->second.legs) {
+        for (const auto route : routes) routes_.erase(route);
+    }
+    multigets_.erase(at);
+    return known;
+}
+
+}  // namespace pinedoor::placement
--- /dev/null
+++ b/src/placement/heat.cpp
@@ -0,0 +1,233 @@
+#include "placement/heat.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <limits>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace pinedoor::placement {
+namespace {
+
+constexpr std::size_t kHeavyKeys = 1024;
+constexpr double kSecond = 10'000;
+constexpr double kNewest = 0.5;  // of a load, the share of the latest look
+
+std::uint64_t mix(std::uint64_t value) {  // splitmix64's finalizer (Steele, Lea, Flood, 2014)
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+}  // namespace
+
+void HeavyKeys::swap(std::size_t a, std::size_t b) {
+    std::swap(heap_[a], heap_[b]);
+    at_[heap_[a].key] = a;
+    at_[heap_[b].key] = b;
+}
+
+void HeavyKeys::sink(std::size_t at) {
+    for (;;) {
+        auto least = at;
+        for (const auto child : {2 * at + 1, 2 * at + 2}) {
+            if (child < heap_.size() && heap_[child].count < heap_[least].count) least = child;
+        }
+        if (least == at) return;
+        swap(at, least);
+        at = least;
+    }
+}
+
+void HeavyKeys::rise(std::size_t at) {
+    while (at > 0 && heap_[at].count < heap_[(at - 1) / 2].count) {
+        swap(at, (at - 1) / 2);
+        at = (at - 1) / 2;
+    }
+}
+
+void HeavyKeys::add(Key key, std::uint64_t times) {
+    total_ += times;
+    if (const auto found = at_.find(key); found != at_.end()) {
+        heap_[found->second].count += times;
+        return sink(found->second);
+    }
+    if (heap_.size() < most_) {
+        heap_.push_back({key, times, 0});
+        at_[key] = heap_.size() - 1;
+        return rise(heap_.size() - 1);
+    }
+    // It takes the lightest one's place, and may have been counted there: that is its error.
+    auto& lightest = heap_.front();
+    at_.erase(lightest.key);
+    lightest = {key, lightest.count + times, lightest.count};
+    at_[key] = 0;
+    sink(0);
+}
+
+std::vector<HeavyKeys::Entry> HeavyKeys::heaviest(std::size_t most) const {
+    auto all = heap_;
+    std::sort(all.begin(), all.end(), [](const Entry& a, const Entry& b) {
+        return a.count != b.count ? a.count > b.count : a.key < b.key;
+    });
+    all.resize(std::min(all.size(), most));
+    return all;
+}
+
+void HeavyKeys::halve() {
+    total_ -= total_ / 2;
+    for (auto& each : heap_) {
+        each.count -= each.count / 2;  // the order stays
+        each.error -= each.error / 2;
+    }
+}
+
+std::size_t HeavyKeys::bytes() const {
+    return heap_.capacity() * sizeof(Entry) + at_.bucket_count() * sizeof(void*) +
+           at_.size() * (sizeof(std::pair<const Key, std::size_t>) + 2 * sizeof(void*));
+}
+
+std::size_t CountMin::cell(Key key, std::size_t row) const {
+    return row * width_ + mix(key + 0x9e3779b97f4a7c15U * (row + 1)) % width_;
+}
+
+void CountMin::add(Key key, std::uint64_t times) {
+    const auto now = at_most(key) + times;
+    for (std::size_t row = 0; row < depth_; ++row) {
+        auto& each = cells_[cell(key, row)];
+        each = std::max(each, now);
+    }
+}
+
+std::uint64_t CountMin::at_most(Key key) const {
+    auto least = std::numeric_limits<std::uint64_t>::max();
+    for (std::size_t row = 0; row < depth_; ++row) least = std::min(least, cells_[cell(key, row)]);
+    return least;
+}
+
+std::string print(const Proposal& proposal) {
+    char load[48];
+    std::snprintf(load, sizeof load, ", %.0f parts a second", proposal.load);
+    const auto shard = "shard " + std::to_string(proposal.shard);
+    switch (proposal.kind) {
+        case Proposal::Kind::kSplit: return "split " + shard + " at " + std::to_string(proposal.at) + load;
+        case Proposal::Kind::kMerge:
+            return "merge " + shard + " and " + std::to_string(proposal.other) + load;
+        case Proposal::Kind::kOneKey:
+            return shard + " is hot by the one key " + std::to_string(proposal.at) + load;
+    }
+    return {};
+}
+
+HeatBook::HeatBook(HeatTerms terms, std::uint64_t seed)
+    : terms_(terms), chance_(static_cast<std::mt19937::result_type>(seed)), keys_(kHeavyKeys) {
+    if (!(terms.split_above > 0) || terms.merge_below < 0 || terms.merge_below > 0.6 * terms.split_above)
+        throw std::invalid_argument("merge_below must be at most 0.6 of split_above");
+    if (terms.look <= 0 || terms.looks < 1 || terms.sample < 2)
+        throw std::invalid_argument("a look takes time, and a need at least one look");
+}
+
+void HeatBook::asked(const Shard& shard, Key key, Time now) {
+    keys_.add(key);
+    auto [at, is_new] = shards_.try_emplace(shard.id);
+    auto& heat = at->second;
+    if (is_new) heat.since = now;
+    ++heat.seen;
+    // Each key that came is as likely to be in the sample as any other (Vitter's algorithm R, 1985).
+    ++heat.sampled;
+    if (heat.sample.size() < terms_.sample) {
+        heat.sample.push_back(key);
+        return;
+    }
+    const auto place = std::uniform_int_distribution<std::uint64_t>(0, heat.sampled - 1)(chance_);
+    if (place < heat.sample.size()) heat.sample[place] = key;
+}
+
+// In the middle of what was asked, not of the range: half of the load goes to each side.
+Proposal HeatBook::split_of(const Shard& shard, const Heat& heat) const {
+    auto keys = heat.sample;
+    std::sort(keys.begin(), keys.end());
+    const Key middle = keys[keys.size() / 2];
+    const auto same = std::count(keys.begin(), keys.end(), middle);
+    if (static_cast<double>(same) >= terms_.one_key * static_cast<double>(keys.size()))
+        return {Proposal::Kind::kOneKey, shard.id, 0, middle, heat.load};
+    // The first key of the upper part must lie behind the lower's first.
+    Key at = middle;
+    if (at <= shard.first) at = *std::upper_bound(keys.begin(), keys.end(), middle);
+    return {Proposal::Kind::kSplit, shard.id, 0, at, heat.load};
+}
+
+std::vector<Proposal> HeatBook::look(const ShardMap& map, Time now) {
+    if (!looked_) {
+        looked_ = true;
+        last_look_ = now;
+        next_look_ = now + terms_.look;
+        return {};
+    }
+    if (now < next_look_) return {};
+    const double seconds = static_cast<double>(now - last_look_) / kSecond;
+    last_look_ = now;
+    next_look_ = now + terms_.look;
+    keys_.halve();
+    const auto all = map.shards();
+    std::set<ShardId> there;
+    for (const auto& shard : all) {
+        there.insert(shard.id);
+        auto [at, is_new] = shards_.try_emplace(shard.id);
+        auto& heat = at->second;
+        if (is_new) heat.since = now;
+        const double latest = static_cast<double>(std::exchange(heat.seen, 0)) / seconds;
+        heat.load = kNewest * latest + (1 - kNewest) * heat.load;
+    }
+    std::erase_if(shards_, [&there](const auto& each) { return !there.contains(each.first); });
+    std::vector<Proposal> found;
+    const auto rested = [&](const Heat& heat) { return now - heat.since >= terms_.rest; };
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        auto& heat = shards_.at(all[i].id);
+        heat.above = heat.load > terms_.split_above ? heat.above + 1 : 0;
+        if (heat.above >= terms_.looks && rested(heat) && heat.sample.size() >= 2 &&
+            all[i].first < all[i].last) {
+            found.push_back(split_of(all[i], heat));
+            heat.above = 0;
+        }
+        if (heat.load <= terms_.split_above && heat.above == 0 && heat.sampled > 4 * terms_.sample) {
+            // What lies back does not say where load is now.
+            heat.sampled = heat.sample.size();
+        }
+        if (i + 1 == all.size()) {
+            heat.below = 0;
+            continue;
+        }
+        const auto& next = shards_.at(all[i + 1].id);
+        auto here = all[i].replicas, there_too = all[i + 1].replicas;
+        std::sort(here.begin(), here.end());
+        std::sort(there_too.begin(), there_too.end());
+        heat.below = heat.load + next.load < terms_.merge_below && here == there_too ? heat.below + 1 : 0;
+        if (heat.below < terms_.looks || !rested(heat) || !rested(next)) continue;
+        // One of the two may be merged with the one before it in this very look.
+        const bool taken =
+            !found.empty() && found.back().kind == Proposal::Kind::kMerge && found.back().other == all[i].id;
+        if (taken) continue;
+        found.push_back({Proposal::Kind::kMerge, all[i].id, all[i + 1].id, 0, heat.load + next.load});
+        heat.below = 0;
+    }
+    return found;
+}
+
+double HeatBook::load(ShardId shard) const {
+    const auto at = shards_.find(shard);
+    return at == shards_.end() ? 0 : at->second.load;
+}
+
+std::vector<std::pair<ShardId, double>> HeatBook::hottest(std::size_t most) const {
+    std::vector<std::pair<ShardId, double>> all;
+    for (const auto& [id, heat] : shards_) all.emplace_back(id, heat.load);
+    std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
+        return a.second != b.second ? a.second > b.second : a.first < b.first;
+    });
+    all.resize(std::min(all.size(), most));
+    return all;
+}
+
+}  // namespace pinedoor::placement
--- /dev/null
+++ b/tests/placement/gather_test.cpp
@@ -0,0 +1,419 @@
+// One answer for each count split: pieces, refusals, splits and merges underneath, merge rules, and what is
+// said of what is missing.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+
+#include "placement/gatherer.hpp"
+
+namespace {
+
+using namespace pinedoor::placement;
+namespace g = pinedoor::placement::gathering;
+constexpr Key kLast = std::numeric_limits<Key>::max();
+
+TEST_CASE("values merge by their rule, or not at all") {
+    using enum MergeRule;
+    CHECK(merge_values(kSum, {"3", "-1", "40"}) == "42");
+    CHECK(!merge_values(kSum, {"3", "x"}));
+    CHECK(!merge_values(kSum, {"3", "1.5"}));
+    CHECK(!merge_values(kSum, {"9223372036854775807", "1"}));
+    CHECK(merge_values(kSum, {"what one box says"}) == "what one box says");
+    CHECK(merge_values(kRanked, {"9 a\n5 b\n1 c", "7 d\n5 e"}) == "9 a\n7 d\n5 b");
+    CHECK(merge_values(kRanked, {"", "7 d"}) == "7 d");
+    CHECK(!merge_values(kRanked, {"5 b\n9 a", "1 c"}));  // not in order: it cannot be told what is missing
+    CHECK(!merge_values(kRanked, {"5", "1 c"}));
+    CHECK(merge_values(kConcatenated, {"a", "", "b"}) == "ab");
+    CHECK(!merge_values(kWhole, {"a", "b"}));
+    CHECK(merge_values(kWhole, {"a"}) == "a");
+    CHECK(!merge_values(kSum, {}));
+    for (const auto rule : {kWhole, kSum, kRanked, kConcatenated})
+        CHECK(merge_rule_named(name_of(rule)) == rule);
+    CHECK(!merge_rule_named("guess"));
+}
+
+GatherTerms terms() {
+    GatherTerms made;
+    made.op_types = {{MergeRule::kSum, true, 0.5, 1, 1'000}, {MergeRule::kSum, false, 1, 1, 1'000}};
+    made.splits = 4;
+    return made;
+}
+
+std::shared_ptr<const ShardMap> share(ShardMap map) {
+    return std::make_shared<const ShardMap>(std::move(map));
+}
+ShardMap after(const ShardMap& map, const Step& step) {
+    auto made = map.after(step);
+    if (auto* refused = std::get_if<ShardMap::Refused>(&made)) FAIL(refused->why);
+    return std::get<ShardMap>(made);
+}
+
+struct Trace {
+    std::vector<g::AskLeg> legs;
+    std::vector<g::End> ends;
+    std::vector<g::LeaveLeg> left;
+    int wants_map = 0;
+    Time wake = -1;
+
+    Trace& operator()(const Gatherer::Actions& actions) {
+        for (const auto& action : actions) {
+            if (const auto* leg = std::get_if<g::AskLeg>(&action)) legs.push_back(*leg);
+            if (const auto* end = std::get_if<g::End>(&action)) ends.push_back(*end);
+            if (const auto* leave = std::get_if<g::LeaveLeg>(&action)) left.push_back(*leave);
+            if (const auto* wake_at = std::get_if<g::Wake>(&action)) wake = wake_at->at;
+            wants_map += std::holds_alternative<g::WantMap>(action) ? 1 : 0;
+        }
+        return *this;
+    }
+};
+
+LegEnd answered(const g::AskLeg& leg, const std::map<Route, std::string>& values) {
+    LegEnd end;
+    end.kind = LegEnd::Kind::kAnswered;
+    for (const auto& piece : leg.pieces) {
+        const auto value = values.find(piece.route);
+        end.fates.emplace_back(piece.route, value == values.end() ? PieceFate::kNeverSent : PieceFate::kRan);
+        if (value != values.end()) end.values.emplace_back(piece.route, value->second);
+    }
+    return end;
+}
+
+const GatherAsked kTwoSplits{0, 2'000, {{0, 0.25, 0, 0}, {1, 0.75, 0, 0}}};
+
+TEST_CASE("a split that lies in two shards is asked of both, its weight divided, its value their sum") {
+    Gatherer gatherer(terms());
+    auto map = ShardMap::even(2, {1, 2}, 2);  // two count splits in each
+    map = after(map, Split{1, Gatherer::keys_of(1, 4).first + (kLast / 4) / 2, 11, 12});
+    Trace trace;
+    trace(gatherer.map_is(0, share(map)))(gatherer.ask(0, 7, kTwoSplits));
+    REQUIRE(trace.legs.size() == 1);
+    const auto& pieces = trace.legs[0].pieces;
+    REQUIRE(pieces.size() == 3);
+    CHECK(pieces[0].shard == 11);
+    CHECK(pieces[1].shard == 11);
+    CHECK(pieces[2].shard == 12);
+    CHECK(pieces[1].last + 1 == pieces[2].first);
+    CHECK(pieces[1].weight == doctest::Approx(0.375));
+    CHECK(pieces[1].weight + pieces[2].weight == doctest::Approx(0.75));
+    CHECK(pieces[0].boxes.size() == 2);
+    std::map<Route, std::string> values{
+        {pieces[0].route, "1"}, {pieces[1].route, "20"}, {pieces[2].route, "300"}};
+    SUBCASE("all in") {
+        trace(gatherer.leg_ended(5, 7, 0, answered(trace.legs[0], values)));
+        REQUIRE(trace.ends.size() == 1);
+        CHECK(trace.ends[0].whole);
+        CHECK(trace.ends[0].values == std::vector<std::pair<int, std::string>>{{0, "1"}, {1, "320"}});
+    }
+    SUBCASE("half of a split is not a value of it") {
+        values.erase(pieces[2].route);
+        trace(gatherer.leg_ended(5, 7, 0, answered(trace.legs[0], values)));
+        REQUIRE(trace.ends.size() == 1);
+        // 0.25 + 0.375 of the weight came, but only 0.25 of what was asked for: under the least share.
+        CHECK(trace.ends[0].kind == LegEnd::Kind::kFailed);
+        CHECK(trace.ends[0].values.empty());
+        CHECK(trace.ends[0].fates[1].second == PieceFate::kMayHaveRun);
+    }
+    SUBCASE("enough of the weight without it") {
+        values.erase(pieces[0].route);
+        trace(gatherer.leg_ended(5, 7, 0, answered(trace.legs[0], values)));
+        CHECK(trace.ends[0].kind == LegEnd::Kind::kAnswered);
+        CHECK(!trace.ends[0].whole);
+        CHECK(trace.ends[0].values == std::vector<std::pair<int, std::string>>{{1, "320"}});
+    }
+    SUBCASE("what does not merge is no answer, and no reason to ask again") {
+        values[pieces[1].route] = "x";
+        trace(gatherer.leg_ended(5, 7, 0, answered(trace.legs[0], values)));
+        CHECK(trace.ends[0].kind == LegEnd::Kind::kFailed);
+        CHECK(gatherer.counted().unmerged == 1);
+    }
+    CHECK(gatherer.open() == 0);
+    CHECK(gatherer.routes() == 0);
+}
+
+TEST_CASE(
+    "a shard split under a multiget: the refused piece becomes the children's, once their map is known") {
+    Gatherer gatherer(terms());
+    const auto map = ShardMap::even(4, {1, 2}, 2);
+    Trace trace;
+    trace(gatherer.map_is(0, share(map)))(gatherer.ask(0, 7, kTwoSplits));
+    const auto leg = trace.legs[0];
+    REQUIRE(leg.pieces.size() == 2);
+    trace(gatherer.refused(10, leg.pieces[1].route, 2));
+    CHECK(trace.wants_map == 1);
+    CHECK(trace.legs.size() == 1);  // where its keys are is not known yet
+    const auto [first, last] = Gatherer::keys_of(1, 4);
+    const auto split = after(map, Split{2, first + 1'000, 21, 22});
+    SUBCASE("and then asked for") {
+        trace(gatherer.map_is(20, share(split)));
+        REQUIRE(trace.legs.size() == 2);
+        const auto again = trace.legs[1];
+        REQUIRE(again.pieces.size() == 2);
+        CHECK(again.pieces[0].shard == 21);
+        CHECK(again.pieces[1].last == last);
+        CHECK(again.pieces[0].weight + again.pieces[1].weight == doctest::Approx(0.75));
+        trace(gatherer.leg_ended(30, 7, 0, answered(leg, {{leg.pieces[0].route, "1"}})));
+        CHECK(trace.ends.empty());
+        SUBCASE("both in") {
+            trace(gatherer.leg_ended(
+                40, 7, 1, answered(again, {{again.pieces[0].route, "5"}, {again.pieces[1].route, "6"}})));
+            REQUIRE(trace.ends.size() == 1);
+            CHECK(trace.ends[0].whole);
+            CHECK(trace.ends[0].values == std::vector<std::pair<int, std::string>>{{0, "1"}, {1, "11"}});
+        }
+        SUBCASE("one moves again, three versions on") {
+            auto later = after(after(split, PassOwnership{22, 1}), Split{22, first + 2'000, 31, 32});
+            later = after(later, PassOwnership{21, 1});
+            later = after(later, Merge{21, 31, 41});
+            trace(gatherer.refused(35, again.pieces[1].route, 4))(gatherer.map_is(36, share(later)));
+            REQUIRE(trace.legs.size() == 3);
+            REQUIRE(trace.legs[2].pieces.size() == 2);
+            CHECK(trace.legs[2].pieces[0].shard == 41);
+            CHECK(trace.legs[2].pieces[0].first == again.pieces[1].first);
+            trace(gatherer.leg_ended(40, 7, 1, answered(again, {{again.pieces[0].route, "5"}})));
+            CHECK(trace.ends.empty());
+            trace(gatherer.leg_ended(41, 7, 2,
+                                     answered(trace.legs[2], {{trace.legs[2].pieces[0].route, "2"},
+                                                              {trace.legs[2].pieces[1].route, "4"}})));
+            REQUIRE(trace.ends.size() == 1);
+            CHECK(trace.ends[0].values.back().second == "11");
+        }
+        SUBCASE("the second leg fails: at once what is known") {
+            LegEnd failed;
+            trace(gatherer.leg_ended(40, 7, 1, failed));
+            REQUIRE(trace.ends.size() == 1);
+            CHECK(trace.ends[0].kind == LegEnd::Kind::kFailed);
+        }
+    }
+    SUBCASE("or given up at the end of its time, if no map comes") {
+        trace(gatherer.leg_ended(30, 7, 0, answered(leg, {{leg.pieces[0].route, "1"}})));
+        CHECK(trace.ends.empty());
+        CHECK(trace.wake == 1'800);  // 0.25 is no answer: it waits for as long as there is time
+        trace(gatherer.tick(1'800));
+        REQUIRE(trace.ends.size() == 1);
+        CHECK(trace.ends[0].kind == LegEnd::Kind::kFailed);
+        CHECK(trace.ends[0].fates[1].second == PieceFate::kNeverSent);
+    }
+    CHECK(gatherer.open() == 0);
+    CHECK(gatherer.routes() == 0);
+}
+
+TEST_CASE("what must not run twice goes to the owner alone, and only what never ran is asked for again") {
+    Gatherer gatherer(terms());
+    const auto map = ShardMap::even(4, {1, 2}, 2);
+    Trace trace;
+    trace(gatherer.map_is(0, share(map)))(gatherer.ask(0, 7, {1, 2'000, {{1, 1, 0, 0}}}));
+    const auto leg = trace.legs[0];
+    CHECK(leg.pieces[0].boxes == std::vector<BoxId>{2});
+    const auto passed = after(map, PassOwnership{2, 1});
+    CHECK(gatherer.boxes_now(leg.pieces[0]) == std::vector<BoxId>{2});
+    trace(gatherer.map_is(1, share(passed)));
+    CHECK(gatherer.boxes_now(leg.pieces[0]) == std::vector<BoxId>{1});  // if it has not been sent yet
+    REQUIRE(gatherer.sending(leg.pieces[0].route) != nullptr);
+    CHECK(gatherer.sending(leg.pieces[0].route)->epoch == 2);
+    SUBCASE("refused by the box that was behind: after a pause") {
+        trace(gatherer.refused(10, leg.pieces[0].route, 1));
+        CHECK(trace.legs.size() == 1);
+        trace(gatherer.leg_ended(12, 7, 0, answered(leg, {})));
+        CHECK(trace.ends.empty());
+        CHECK(trace.wake == 1'800);
+        trace(gatherer.tick(210));
+        REQUIRE(trace.legs.size() == 2);
+        CHECK(trace.legs[1].pieces[0].boxes == std::vector<BoxId>{1});
+        trace(gatherer.leg_ended(220, 7, 1, answered(trace.legs[1], {{trace.legs[1].pieces[0].route, "8"}})));
+        CHECK(trace.ends.at(0).whole);
+    }
+    SUBCASE("not answered: no second leg, and the end says that it may have run") {
+        LegEnd failed;
+        failed.fates = {{leg.pieces[0].route, PieceFate::kMayHaveRun}};
+        trace(gatherer.leg_ended(12, 7, 0, failed));
+        CHECK(trace.legs.size() == 1);
+        CHECK(trace.ends.at(0).kind == LegEnd::Kind::kFailed);
+        CHECK(trace.ends.at(0).fates[0].second == PieceFate::kMayHaveRun);
+    }
+    SUBCASE("pushed back") {
+        LegEnd pushed;
+        pushed.kind = LegEnd::Kind::kPushedBack;
+        pushed.wait = 50;
+        trace(gatherer.leg_ended(12, 7, 0, pushed));
+        CHECK(trace.ends.at(0).kind == LegEnd::Kind::kPushedBack);
+        CHECK(trace.ends.at(0).wait == 50);
+    }
+    SUBCASE("its client leaves") {
+        CHECK(gatherer.open_legs(7) == std::vector<int>{0});
+        const auto fates = gatherer.left(7, {{leg.pieces[0].route, PieceFate::kRan}});
+        CHECK(fates == std::vector<std::pair<int, PieceFate>>{{1, PieceFate::kRan}});
+        CHECK(gatherer.refused(20, leg.pieces[0].route, 9).empty());
+    }
+    CHECK(gatherer.open() == 0);
+    CHECK(gatherer.routes() == 0);
+}
+
+TEST_CASE("asking again has a bound for each multiget and a budget for all") {
+    auto made = terms();
+    made.further_floor = 2;
+    made.further_look_back = 10'000;
+    made.most_legs = 3;
+    Gatherer gatherer(made);
+    auto map = ShardMap::even(4, {1, 2}, 2);
+    gatherer.map_is(0, share(map));
+    Trace trace;
+    trace(gatherer.ask(0, 1, {0, 2'000, {{0, 1, 0, 0}}}));
+    for (std::size_t leg = 0; leg < 2; ++leg) {
+        map = after(map, PassOwnership{1, leg == 0 ? BoxId{2} : BoxId{1}});
+        gatherer.map_is(0, share(map));
+        trace(gatherer.refused(0, trace.legs[leg].pieces[0].route, leg + 2));
+        REQUIRE(trace.legs.size() == leg + 2);
+    }
+    map = after(map, PassOwnership{1, 2});
+    gatherer.map_is(0, share(map));
+    trace(gatherer.refused(0, trace.legs[2].pieces[0].route, 4));
+    REQUIRE(trace.ends.size() == 1);  // a third leg was the last, and what cannot come is not waited for
+    CHECK(trace.left.size() == 3);
+    // The budget is used up by now, for others too, until it has passed.
+    trace(gatherer.ask(0, 2, {0, 2'000, {{0, 1, 0, 0}}}));
+    map = after(map, PassOwnership{1, 1});
+    gatherer.map_is(0, share(map));
+    trace(gatherer.refused(0, trace.legs.back().pieces[0].route, 5));
+    CHECK(trace.ends.size() == 2);
+    CHECK(gatherer.counted().given_up == 2);
+    trace(gatherer.ask(20'000, 3, {0, 22'000, {{0, 1, 0, 0}}}));
+    map = after(map, PassOwnership{1, 2});
+    gatherer.map_is(20'000, share(map));
+    trace(gatherer.refused(20'000, trace.legs.back().pieces[0].route, 6));
+    CHECK(trace.ends.size() == 2);
+}
+
+TEST_CASE("without a map nothing is sent and all is pushed back") {
+    Gatherer gatherer(terms());
+    Trace trace;
+    trace(gatherer.ask(0, 1, kTwoSplits));
+    CHECK(trace.ends.at(0).kind == LegEnd::Kind::kPushedBack);
+    CHECK(trace.ends.at(0).fates[0].second == PieceFate::kNeverSent);
+}
+
+// Boxes that hold the data and the newest map, a node that lags behind them, and answers counted against the
+// whole data set. Values are how many of 64 points of each count split lie within a piece's keys.
+std::string points_in(Key first, Key last) {
+    const Key step = kLast / 256;
+    const Key from = (first + step - 1) / step, upto = last / step;
+    return std::to_string(upto >= from ? upto - from + 1 : 0);
+}
+
+TEST_CASE("whatever splits, merges and moves, every whole answer is the one of the whole data set") {
+    CHECK(rc::check("gatherer", [] {
+        auto made = terms();
+        made.most_legs = 8;
+        Gatherer gatherer(made);
+        std::mt19937_64 chance(*rc::gen::arbitrary<std::uint64_t>());
+        auto truth = ShardMap::even(3, {1, 2}, 2);
+        auto known = truth;
+        gatherer.map_is(0, share(known));
+        ShardId next = 100;
+        Time now = 0;
+        Number number = 0;
+        std::map<Number, std::map<int, g::AskLeg>> open;
+        std::map<std::pair<Number, int>, std::map<Route, std::string>> in;
+        std::map<std::pair<Number, int>, std::set<Route>> undecided;
+        std::size_t ended = 0, whole = 0;
+        const auto take = [&](const Gatherer::Actions& actions) {
+            for (const auto& action : actions) {
+                if (const auto* leg = std::get_if<g::AskLeg>(&action)) {
+                    open[leg->number][leg->leg] = *leg;
+                    for (const auto& piece : leg->pieces)
+                        undecided[{leg->number, leg->leg}].insert(piece.route);
+                }
+                if (const auto* leave = std::get_if<g::LeaveLeg>(&action)) {
+                    open[leave->number].erase(leave->leg);
+                    undecided.erase({leave->number, leave->leg});
+                }
+                if (const auto* end = std::get_if<g::End>(&action)) {
+                    ++ended;
+                    open.erase(end->number);
+                    RC_ASSERT(end->kind != LegEnd::Kind::kAnswered || !end->values.empty());
+                    whole += end->whole ? 1 : 0;
+                    for (const auto& [split, value] : end->values) {
+                        const auto [first, last] = Gatherer::keys_of(split, 4);
+                        RC_ASSERT(value == points_in(first, last));
+                    }
+                }
+            }
+        };
+        for (int step = 0; step < 300; ++step) {
+            now += 10;
+            switch (chance() % 8) {
+                case 0: {  // the fleet changes; the node does not know yet
+                    const auto all = truth.shards();
+                    const auto at = chance() % all.size();
+                    const auto& one = all[at];
+                    Step change = PassOwnership{one.id, one.owner() == 1 ? BoxId{2} : BoxId{1}};
+                    if (chance() % 3 == 0 && one.last - one.first > 100)
+                        change =
+                            Split{one.id, one.first + 1 + chance() % (one.last - one.first), next, next + 1};
+                    else if (chance() % 2 == 0 && at + 1 < all.size())
+                        change = Merge{one.id, all[at + 1].id, next};
+                    next += 2;
+                    if (auto made_map = truth.after(change); std::holds_alternative<ShardMap>(made_map))
+                        truth = std::get<ShardMap>(made_map);
+                    break;
+                }
+                case 1:  // the node hears
+                    known = truth;
+                    take(gatherer.map_is(now, share(known)));
+                    break;
+                case 2: take(gatherer.tick(now)); break;
+                case 3: {
+                    GatherAsked asked{static_cast<int>(chance() % 2), now + 2'000, {}};
+                    for (int split = 0; split < 4; ++split) asked.splits.push_back({split, 0.25, 0, 0});
+                    take(gatherer.ask(now, ++number, asked));
+                    break;
+                }
+                default: {  // a box takes a piece: under the truth
+                    if (undecided.empty()) break;
+                    auto at = undecided.begin();
+                    std::advance(at, static_cast<std::ptrdiff_t>(chance() % undecided.size()));
+                    const auto key = at->first;
+                    if (at->second.empty()) {
+                        const auto leg = open.at(key.first).at(key.second);
+                        open.at(key.first).erase(key.second);
+                        undecided.erase(at);
+                        take(gatherer.leg_ended(now, key.first, key.second, answered(leg, in[key])));
+                        break;
+                    }
+                    const auto route = *at->second.begin();
+                    at->second.erase(at->second.begin());
+                    const auto* piece = gatherer.piece(route);
+                    RC_ASSERT(piece != nullptr);
+                    const auto& shard = truth.at(piece->first);
+                    const bool owned =
+                        shard.id == piece->shard && shard.epoch == piece->epoch && shard.holds(piece->last);
+                    if (owned) {
+                        in[key][route] = points_in(piece->first, piece->last);
+                    } else {
+                        const auto* same = truth.find(piece->shard);
+                        take(gatherer.refused(now, route, same == nullptr ? piece->epoch + 1 : same->epoch));
+                    }
+                }
+            }
+        }
+        now += 100'000;
+        take(gatherer.map_is(now, share(truth)));
+        for (auto& [n, legs] : std::map(open)) {
+            for (auto& [leg, asked] : legs)
+                take(gatherer.leg_ended(now, n, leg, answered(asked, in[{n, leg}])));
+        }
+        take(gatherer.tick(now));
+        for (auto& [n, legs] : std::map(open)) {
+            for (auto& [leg, asked] : legs) take(gatherer.leg_ended(now, n, leg, LegEnd{}));
+        }
+        RC_ASSERT(ended == number);
+        RC_ASSERT(gatherer.routes() == 0U);
+        RC_CLASSIFY(whole * 2 > ended, "most were whole");
+    }));
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/placement/heat_test.cpp
@@ -0,0 +1,186 @@
+// Heat: the sketch against exact counts, and proposals that a hovering load does not cause.
+#include "placement/heat.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <random>
+
+namespace {
+
+using namespace pinedoor::placement;
+constexpr Time kSecond = 10'000;
+
+TEST_CASE("the heaviest keys are held, and their counts lie within what the sketch says") {
+    CHECK(rc::check("heavy keys", [] {
+        const auto counters = *rc::gen::inRange<std::size_t>(4, 64);
+        HeavyKeys sketch(counters);
+        CountMin other(256, 4);
+        std::map<Key, std::uint64_t> exact;
+        std::mt19937_64 chance(*rc::gen::arbitrary<std::uint64_t>());
+        const double skew = *rc::gen::element(0.5, 1.0, 2.0);
+        const int length = *rc::gen::inRange(1, 4'000);
+        for (int i = 0; i < length; ++i) {
+            const auto rank = std::pow(std::uniform_real_distribution<double>(0, 1)(chance), 1 + skew);
+            const auto key = static_cast<Key>(rank * 500);
+            sketch.add(key);
+            other.add(key);
+            ++exact[key];
+        }
+        const auto told = sketch.heaviest(counters);
+        std::map<Key, HeavyKeys::Entry> held;
+        for (const auto& each : told) held[each.key] = each;
+        for (const auto& [key, entry] : held) {
+            RC_ASSERT(entry.count >= exact[key]);
+            RC_ASSERT(entry.count - entry.error <= exact[key]);
+        }
+        for (const auto& [key, count] : exact) {
+            RC_ASSERT(other.at_most(key) >= count);
+            if (count * counters > static_cast<std::uint64_t>(length)) RC_ASSERT(held.contains(key));
+        }
+        for (std::size_t i = 1; i < told.size(); ++i) RC_ASSERT(told[i - 1].count >= told[i].count);
+    }));
+}
+
+struct World {
+    explicit World(double scale = 1) : terms(scaled(scale)) {}
+    static HeatTerms scaled(double scale) {
+        HeatTerms made;
+        made.split_above *= scale;
+        made.merge_below *= scale;
+        return made;
+    }
+
+    ShardMap map = ShardMap::even(4, {1, 2}, 2);
+    HeatTerms terms;
+    HeatBook book{terms, 1};
+    Time now = 0;
+    std::mt19937_64 chance{5};
+
+    // A second of load: parts of one shard, spread over the lower tenth of its keys.
+    std::vector<Proposal> second(const std::map<ShardId, double>& load) {
+        for (const auto& [id, parts] : load) {
+            const auto* shard = map.find(id);
+            if (shard == nullptr) continue;
+            const Key width = (shard->last - shard->first) / 10;
+            for (int i = 0; i < static_cast<int>(parts); ++i)
+                book.asked(*shard, shard->first + chance() % width, now + i);
+        }
+        now += kSecond;
+        return book.look(map, now);
+    }
+};
+
+TEST_CASE("a hot shard is to be split in the middle of its load, after some looks, and rests after") {
+    World world;
+    world.book.look(world.map, 0);
+    int proposed = 0;
+    for (int second = 0; second < 300; ++second) {
+        for (const auto& each : world.second({{2, 1'500}, {1, 300}, {3, 300}, {4, 300}})) {
+            ++proposed;
+            CHECK(each.kind == Proposal::Kind::kSplit);
+            CHECK(each.shard == 2);
+            CHECK(second >= 59);  // shards rest after they were first seen
+            const auto& shard = *world.map.find(2);
+            const double into =
+                static_cast<double>(each.at - shard.first) / static_cast<double>(shard.last - shard.first);
+            CHECK(into > 0.02);  // of the lower tenth, some half
+            CHECK(into < 0.08);
+        }
+    }
+    CHECK(proposed > 0);
+    CHECK(world.book.load(2) == doctest::Approx(1'500).epsilon(0.01));
+    CHECK(world.book.hottest(1).front().first == 2);
+}
+
+TEST_CASE("one hot key is no reason to split") {
+    World world;
+    world.book.look(world.map, 0);
+    bool told = false;
+    for (int second = 0; second < 100; ++second) {
+        for (int i = 0; i < 1'500; ++i)
+            world.book.asked(*world.map.find(2), world.map.find(2)->first + 77, 0);
+        for (const auto& each : world.second({{1, 300}, {3, 300}, {4, 300}})) {
+            CHECK(each.kind == Proposal::Kind::kOneKey);
+            CHECK(each.at == world.map.find(2)->first + 77);
+            told = true;
+        }
+    }
+    CHECK(told);
+    CHECK(world.book.heavy_keys(1).front().key == world.map.find(2)->first + 77);
+}
+
+TEST_CASE("two cold shards side by side on the same boxes are to be merged") {
+    World world;
+    const std::vector<Replica> same{{1, Role::kOwner}, {2, Role::kReader}};
+    auto shards = world.map.shards();
+    for (auto& each : shards) each.replicas = same;
+    shards[3].replicas = {{2, Role::kOwner}, {1, Role::kReader}};
+    world.map = ShardMap::of(shards);
+    world.book.look(world.map, 0);
+    std::vector<Proposal> all;
+    for (int second = 0; second < 70; ++second) {
+        for (const auto& each : world.second({{1, 600}, {2, 150}, {3, 150}, {4, 50}})) all.push_back(each);
+    }
+    REQUIRE(!all.empty());
+    for (const auto& each : all) {
+        CHECK(each.kind == Proposal::Kind::kMerge);
+        CHECK(each.shard == 2);
+        CHECK(each.other == 3);
+    }
+}
+
+TEST_CASE("a load that hovers about the marks causes no split and merge in turn") {
+    CHECK(rc::check("hovering", [] {
+        World world(0.1);
+        auto shards = world.map.shards();
+        for (auto& each : shards) each.replicas = {{1, Role::kOwner}, {2, Role::kReader}};
+        world.map = ShardMap::of(shards);
+        std::mt19937 chance(*rc::gen::arbitrary<std::uint32_t>());
+        const double about = *rc::gen::element(40.0, 50.0, 100.0);
+        const double by = *rc::gen::element(0.05, 0.2, 0.3);
+        world.book.look(world.map, 0);
+        std::vector<Proposal::Kind> changes;
+        ShardId next = 100;
+        for (int second = 0; second < 300; ++second) {
+            // The first quarter of the keys carries the load, whatever shards it is in by now.
+            std::map<ShardId, double> load;
+            std::vector<const Shard*> hot;
+            const auto all = world.map.shards();
+            for (const auto& each : all) {
+                if (each.first < (Key{1} << 62U) - 2) hot.push_back(&each);
+                load[each.id] = 45;
+            }
+            const double swing = std::uniform_real_distribution<double>(1 - by, 1 + by)(chance);
+            for (const auto* each : hot) load[each->id] = about * swing / static_cast<double>(hot.size());
+            for (const auto& each : world.second(load)) {
+                if (each.kind == Proposal::Kind::kOneKey) continue;
+                const Step step = each.kind == Proposal::Kind::kSplit
+                                      ? Step(Split{each.shard, each.at, next, next + 1})
+                                      : Step(Merge{each.shard, each.other, next});
+                next += 2;
+                auto made = world.map.after(step);
+                if (std::holds_alternative<ShardMap>(made)) {
+                    world.map = std::get<ShardMap>(made);
+                    changes.push_back(each.kind);
+                }
+            }
+        }
+        // Splitting may be right, or merging; one after the other of it never is.
+        const bool split = std::count(changes.begin(), changes.end(), Proposal::Kind::kSplit) > 0;
+        const bool merged = std::count(changes.begin(), changes.end(), Proposal::Kind::kMerge) > 0;
+        RC_ASSERT(!(split && merged));
+    }));
+}
+
+TEST_CASE("marks that would chase each other are refused") {
+    HeatTerms terms;
+    terms.merge_below = 0.7 * terms.split_above;
+    CHECK_THROWS(HeatBook(terms, 1));
+}
+
+}  // namespace
