Placement: the front node routes by a map of shards, on sockets; off unless stated

The deciders were not wired: no part went by a map, no epoch was in a call, no map came over discovery.

Change: PlacementSide stands between the keeper and the exchange. It watches the map, cuts multigets into pieces, tells the module who holds each (Holders, in place of the ring), puts shard, epoch and keys before what a part carries, and takes 'moved' from a box as never run: the piece is asked again under the next map, within its share of the further sends.

--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -36,11 +36,19 @@
     int second_step_parts = 0;
 };
 
+// Who holds a shard, where a map says so and not the ring (docs/placement.md).
+class Holders {
+public:
+    virtual ~Holders() = default;
+    virtual std::vector<ServerId> of(int shard) const = 0;
+};
+
 struct ShardRing {
     int places = 1;
     int width = 1;
     int parts_per_call = 1;
     Time call_cost = 0;
+    const Holders* holders = nullptr;  // null: the ring says
 
     bool holds(int place, int shard) const { return ((place - shard) % places + places) % places < width; }
 };
--- a/src/parse/frame.cpp
+++ b/src/parse/frame.cpp
@@ -45,6 +45,8 @@
         result.end = ResultEnd::kFailed;
     else if (end == "full")
         result.end = ResultEnd::kFull;
+    else if (end == "moved")
+        result.end = ResultEnd::kMoved;
     else
         return std::nullopt;
     if (result.report == "-") result.report = {};
--- a/src/parse/frame.hpp
+++ b/src/parse/frame.hpp
@@ -18,7 +18,8 @@
 
 FrameScan scan_frame(std::string_view bytes, std::size_t most);
 
-enum class ResultEnd { kDone, kFailed, kFull };
+// kMoved is an answer only where there is a map of shards (docs/placement.md): its value is an epoch.
+enum class ResultEnd { kDone, kFailed, kFull, kMoved };
 
 struct Result {
     std::string_view id;
--- a/src/placement/gatherer.cpp
+++ b/src/placement/gatherer.cpp
@@ -9,7 +9,7 @@
 using namespace gathering;
 
 namespace {
-constexpr double kRounding = 1e-9;  // in sums of weights
+constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
 }
 
 std::pair<Key, Key> Gatherer::keys_of(int split, std::uint64_t splits) {
--- a/src/placement/map_follower.cpp
+++ b/src/placement/map_follower.cpp
@@ -126,6 +126,8 @@
     return count(Did::kRefused, "map news cannot be read: " + unreadable.why);
 }
 
+void MapFollower::lost(Time now) { want_whole(now); }
+
 void MapFollower::epoch_seen(Time now, ShardId shard, Epoch epoch) {
     if (!present_) return;
     const auto* known = present_->find(shard);
--- a/src/placement/map_follower.hpp
+++ b/src/placement/map_follower.hpp
@@ -46,6 +46,7 @@
         std::string why;  // kRefused, kOlder, kAside: in words
     };
     Heard hear(Time now, MapNews news);
+    void lost(Time now);  // nothing is heard any more until the whole map is asked for
     // A box has refused a part of this shard with a newer epoch than the map has: the map lags.
     void epoch_seen(Time now, ShardId shard, Epoch epoch);
 
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -19,9 +19,10 @@
       most_open_(static_cast<std::size_t>(most_open)), most_sends_(most_sends), counters_(counters),
       log_(log), waiter_(scheduler) {}
 
-void Exchange::join(Caller& caller, Lister& lister) {
+void Exchange::join(Caller& caller, Lister& lister, Routes* routes) {
     caller_ = &caller;
     lister_ = &lister;
+    routes_ = routes;
 }
 
 void Exchange::start() {
@@ -154,21 +155,29 @@
     if (ending.kind == Ending::Kind::kAnswered) {
         for (const Id id : at->second.parts) {
             auto& part = parts_.at(id);
-            if (part.in) ending.values.emplace_back(part.shard, std::move(part.value));
+            if (part.in && !part.moved) ending.values.emplace_back(part.shard, std::move(part.value));
         }
     }
     if (at->second.tells_parts) ending.parts = fates(at->second);
     forget(at).ended(std::move(ending));
 }
 
-void Exchange::over(const PartCall& call, Outcome outcome, std::vector<double> load, std::string value) {
+// The send is out no more; its part, or the end if its multiget is over. None: it was not out.
+std::optional<std::map<Id, Exchange::OpenPart>::iterator> Exchange::take_out(const PartCall& call,
+                                                                             Outcome outcome) {
     const auto at = out_.find({call.part, call.send});
-    if (!must_hold(at != out_.end(), counters_)) return;  // a send gets exactly one outcome
+    if (!must_hold(at != out_.end(), counters_)) return std::nullopt;  // a send gets exactly one outcome
     hold_name(at->second, -1);
     out_.erase(at);
     constexpr auto kFirst = static_cast<std::size_t>(Count::kReturned);
     counters_.add(static_cast<Count>(kFirst + static_cast<std::size_t>(outcome)));
-    const auto part = parts_.find(call.part);
+    return parts_.find(call.part);
+}
+
+void Exchange::over(const PartCall& call, Outcome outcome, std::vector<double> load, std::string value) {
+    const auto found = take_out(call, outcome);
+    if (!found) return;
+    const auto part = *found;
     if (part != parts_.end()) {
         part->second.ran |= outcome == Outcome::kReturned;
         if (never_ran(outcome)) --part->second.doubtful;
@@ -185,6 +194,20 @@
     happened(SendEnded{call.part, call.send, call.server, now - call.sent, outcome, std::move(load)});
 }
 
+void Exchange::moved(const PartCall& call, std::uint64_t epoch, std::vector<double> load) {
+    const auto found = take_out(call, Outcome::kReturned);
+    if (!found) return;
+    const auto part = *found;
+    happened(SendEnded{call.part, call.send, call.server, scheduler_.now() - call.sent, Outcome::kReturned,
+                       std::move(load)});
+    if (part == parts_.end()) return;
+    --part->second.doubtful;
+    if (std::exchange(part->second.in, true)) return;
+    part->second.moved = true;
+    --parts_open_;
+    routes_->refused(call.shard, epoch);
+}
+
 void Exchange::list_news(ListKind kind, std::vector<Member> members) {
     counters_.add(kind == ListKind::kFailed ? Count::kListFailures : Count::kListNews);
     if (kind != ListKind::kFailed) list_heard_ = scheduler_.now();
@@ -214,6 +237,11 @@
     happened(std::move(news));
 }
 
+std::optional<ServerId> Exchange::server_named(const std::string& name) const {
+    const auto at = servers_.find(name);
+    return at == servers_.end() ? std::nullopt : std::optional(at->second.id);
+}
+
 // Guards against growth with every server ever listed. One that returns afterwards is a new server.
 void Exchange::forget(ServerId server) {
     std::erase_if(servers_, [&](const auto& each) { return each.second.id == server; });
@@ -231,7 +259,7 @@
     ++part->second.doubtful;
     call.name = open.name;
     call.shard = part->second.shard;
-    call.text = open.text;
+    call.text = routes_ == nullptr ? open.text : routes_->text(call.shard, open.text);
     call.until = send.try_for > 0 ? std::min(open.not_after, now + send.try_for) : open.not_after;
     counters_.add(Count::kSends);
     out_.emplace(std::pair{call.part, call.send}, call.name);
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,6 +47,17 @@
     virtual void fetch() = 0;
 };
 
+class Routes {  // where a map says which part is asked of whom
+public:
+    virtual ~Routes() = default;
+    // What a part carries, just before it is sent.
+    virtual std::shared_ptr<const std::string> text(int shard,
+                                                    const std::shared_ptr<const std::string>& text) = 0;
+    // A server does not own it, knows of this epoch, and has not run it. Told once for a part, if nothing
+    // else came of it before.
+    virtual void refused(int shard, std::uint64_t epoch) = 0;
+};
+
 struct Member {  // of the list, as discovery names it
     std::string name;
     net::Endpoint at;
@@ -57,7 +69,7 @@
     Exchange(net::Scheduler& scheduler, FrontNode node, Time turn, int most_open, int most_sends,
              Counters& counters, Log& log);
 
-    void join(Caller& caller, Lister& lister);
+    void join(Caller& caller, Lister& lister, Routes* routes = nullptr);
     void start();  // once both are there and the known list is in
 
     std::pair<Asked, Ticket> ask(MultigetAsked asked, std::function<void(Ending)> ended) override;
@@ -66,6 +78,10 @@
 
     // Exactly one outcome for each call; the value counts with kReturned only.
     void over(const PartCall& call, Outcome outcome, std::vector<double> load = {}, std::string value = {});
+    // Likewise: the server said that it does not own the part. To the module the server has answered.
+    void moved(const PartCall& call, std::uint64_t epoch, std::vector<double> load);
+    bool has_routes() const { return routes_ != nullptr; }
+    std::optional<ServerId> server_named(const std::string& name) const;
 
     void list_news(ListKind kind, std::vector<Member> members);
     void forget(ServerId server);  // gone from the list, and nothing of it is left
@@ -94,12 +110,14 @@
         int doubtful = 0;  // sends that are out, or ended without proof that they never ran
         bool ran = false;
         bool in = false;
+        bool moved = false;  // in, as an answer without a value
         std::string value;
     };
 
     net::Task run();
     void turn(Time now);
     void happened(Event event);
+    std::optional<std::map<Id, OpenPart>::iterator> take_out(const PartCall& call, Outcome outcome);
     Id new_id();
     void hold_name(const std::string& name, int by);
     std::size_t open_now() const { return multigets_.size() + parts_open_; }
@@ -127,6 +145,7 @@
     Log& log_;
     Caller* caller_ = nullptr;
     Lister* lister_ = nullptr;
+    Routes* routes_ = nullptr;  // null: parts are as the client asked for them
 
     std::vector<Event> events_;
     std::multimap<Time, std::uint32_t> bells_;
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -13,10 +13,19 @@
 constexpr int kReadings = 20;
 constexpr net::Moment kReadAgain = 1'000;
 
-FrontNode make_node(std::uint64_t seed, const stated::Stated& stated) {
-    return FrontNode(seed, stated.node_place(), stated.op_types(), stated.shard_ring(), stated.send_terms(),
-                     stated.further_send_terms(), stated.cold_terms(), stated.list_terms(),
-                     stated.client_terms(), stated.tenants(), stated.hint_terms());
+// With placement what is asked for again has a share of the further sends, and the module has the rest.
+FrontNode make_node(std::uint64_t seed, const stated::Stated& stated, const Holders* holders,
+                    const placement::PlacementTerms& placement) {
+    auto ring = stated.shard_ring();
+    auto further = stated.further_send_terms();
+    ring.holders = holders;
+    if (holders != nullptr) {
+        further.floor *= 1 - placement.further_share;
+        further.ratio *= 1 - placement.further_share;
+    }
+    return FrontNode(seed, stated.node_place(), stated.op_types(), ring, stated.send_terms(), further,
+                     stated.cold_terms(), stated.list_terms(), stated.client_terms(), stated.tenants(),
+                     stated.hint_terms());
 }
 
 Time longest_timeout(const stated::Stated& stated) {
@@ -42,9 +51,11 @@
 FrontDoor::FrontDoor(net::Scheduler& scheduler, const stated::Launch& launch,
                      const stated::Installation& installation, std::FILE* log, LogTerms log_terms)
     : scheduler_(scheduler), launch_(launch), log_(log, scheduler, counters_, log_terms),
-      descriptors_(launch.sockets()),
-      exchange_(scheduler, make_node(launch.seed(), launch.settings()), launch.settings().node_place().turn,
-                launch.settings().most_open(), launch.settings().send_terms().most_sends, counters_, log_),
+      descriptors_(launch.sockets()), placement_(make_placement(installation)),
+      exchange_(scheduler,
+                make_node(launch.seed(), launch.settings(), placement_.get(), installation.placement),
+                launch.settings().node_place().turn, launch.settings().most_open(),
+                launch.settings().send_terms().most_sends, counters_, log_),
       keeper_(make_keeper(installation)),
       servers_(scheduler, exchange_, counters_, log_, launch.settings().report_fields(),
                launch.settings().shard_ring().parts_per_call, launch.settings().streams_per_connection(),
@@ -58,10 +69,12 @@
       reload_asked_(scheduler) {}
 
 void FrontDoor::start() {
-    exchange_.join(servers_, list_);
+    exchange_.join(servers_, list_, placement_.get());
+    if (placement_) placement_->join(exchange_);
     servers_.start();
     list_.take_known(launch_.known());
     exchange_.start();
+    if (placement_) placement_->start();
     if (keeper_) keeper_->start();
     clients_.start();
     reloading_ = reloading();
@@ -96,15 +109,50 @@
         throw stated::BadStated(error.what());
     }
     return std::make_unique<store::Keeper>(
-        scheduler_, exchange_, log_, installation.store, std::move(recorded), launch_.seed(),
+        scheduler_, inner_asker(), log_, installation.store, std::move(recorded), launch_.seed(),
         store::make_backend(scheduler_, installation.store), std::make_unique<store::RealFiles>());
 }
 
 Asker& FrontDoor::asker() {
     if (keeper_) return *keeper_;
+    return inner_asker();
+}
+
+Asker& FrontDoor::inner_asker() {
+    if (placement_) return *placement_;
     return exchange_;
 }
 
+std::unique_ptr<PlacementSide> FrontDoor::make_placement(const stated::Installation& installation) {
+    const auto& terms = installation.placement;
+    if (!terms.on) return nullptr;
+    const auto& settings = launch_.settings();
+    const auto names = settings.op_type_names();
+    const auto types = settings.op_types();
+    placement::GatherTerms gather;
+    for (const auto& [name, rule] : terms.merge) {
+        if (std::find(names.begin(), names.end(), name) == names.end())
+            throw stated::BadStated("placement.merge names " + name + ", which is no op type");
+    }
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        const auto& type = types[i];
+        const auto rule = terms.merge.find(names[i]);
+        gather.op_types.push_back({rule == terms.merge.end() ? placement::MergeRule::kWhole : rule->second,
+                                   type.repeat == Repeat::kRetriable, type.least_share, type.whole_share,
+                                   type.latency_budget});
+    }
+    const auto further = settings.further_send_terms();
+    gather.splits = static_cast<std::uint64_t>(settings.shards());
+    gather.further_floor = further.floor * terms.further_share;
+    gather.further_ratio = further.ratio * terms.further_share;
+    gather.further_look_back = further.look_back;
+    gather.ask_again = terms.ask_again;
+    gather.answer_grace = settings.client_terms().answer_grace;
+    gather.most_legs = terms.most_legs;
+    return std::make_unique<PlacementSide>(scheduler_, log_, terms, std::move(gather), launch_.discovery(),
+                                           launch_.seed());
+}
+
 void FrontDoor::reload() {
     readings_ = kReadings;
     reload_asked_.signal();
@@ -130,6 +178,7 @@
     try {
         const auto newer = launch_.read_again();
         list_.move_to(newer.discovery());
+        if (placement_) placement_->move_to(newer.discovery());
         std::string line = "reload: discovery is at " + net::to_text(newer.discovery());
         for (const auto& key : launch_.needing_restart(newer)) line += "; " + key + " needs a restart";
         log_.event(Level::kInfo, "reloaded", line);
@@ -143,6 +192,7 @@
     std::string out =
         counters_.print() + exchange_.print_gauges() + servers_.print_gauges() + clients_.print_gauges();
     if (keeper_) out += keeper_->print_gauges();
+    if (placement_) out += placement_->print_gauges();
     const std::filesystem::directory_iterator held("/proc/self/fd"), end;
     append_line(out, "descriptors_open", static_cast<std::uint64_t>(std::distance(held, end)) - 1);
     append_line(out, "longest_turn_us", static_cast<std::uint64_t>(scheduler_.longest_round()) * 100);
--- a/src/service/front_door.hpp
+++ b/src/service/front_door.hpp
@@ -13,6 +13,7 @@
 #include "service/exchange.hpp"
 #include "service/list_watch.hpp"
 #include "service/log.hpp"
+#include "service/placement_side.hpp"
 #include "service/server_side.hpp"
 #include "stated/installation.hpp"
 #include "stated/launch.hpp"
@@ -35,13 +36,16 @@
     net::Task reloading();
     std::string take_file();
     std::unique_ptr<store::Keeper> make_keeper(const stated::Installation& installation);
+    std::unique_ptr<PlacementSide> make_placement(const stated::Installation& installation);
     Asker& asker();
+    Asker& inner_asker();
 
     net::Scheduler& scheduler_;
     const stated::Launch launch_;
     Counters counters_;
     Log log_;
     const Descriptors descriptors_;
+    std::unique_ptr<PlacementSide> placement_;  // null: shards are where the ring says
     Exchange exchange_;
     std::unique_ptr<store::Keeper> keeper_;  // null: nothing is recorded
     ServerSide servers_;
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "parse/http.hpp"
+#include "service/line_watch.hpp"
 
 namespace pinedoor::service {
 namespace {
@@ -57,47 +57,10 @@
 }
 
 net::Task ListWatch::follow(bool stream) {
-    auto fd = net::connect_to(discovery_);
-    if (!fd) co_return;
-    net::Stream connection(scheduler_, std::move(fd));
-    auto& waiter = connection.waiter();
-    Time heard = scheduler_.now();
     std::string target = "/discovery/hosts";
     if (stream) target += "?stream=1" + (revision_.empty() ? "" : "&index=" + revision_);
-    const auto request = parse::http_get(target, net::to_text(discovery_));
-    std::size_t written = 0;
-    parse::HttpReader reader(parse::HttpReader::Kind::kResponse, {16 * 1024, kLongestLine});
-    std::string lines;
-    for (;;) {
-        if (scheduler_.now() - heard >= kSilence || connection.broken()) co_return;
-        if (written < request.size() && waiter.may(net::kWrite)) {
-            if (net::socket_error(connection.fd()) != 0) co_return;
-            written += connection.write(std::string_view(request).substr(written));
-        }
-        if (waiter.may(net::kRead)) {
-            switch (connection.read()) {
-                case net::Stream::Got::kBytes: heard = scheduler_.now(); break;
-                case net::Stream::Got::kNothing: break;
-                default: co_return;
-            }
-        }
-        auto& buffer = connection.buffer();
-        buffer.drop(reader.feed(buffer.held()));
-        if (reader.state() == parse::HttpReader::State::kBad) co_return;
-        if (reader.state() != parse::HttpReader::State::kHead && reader.status() != 200) co_return;
-        lines += reader.take_body();
-        for (auto end = lines.find('\n'); end != std::string::npos; end = lines.find('\n')) {
-            const auto line = lines.substr(0, end);
-            lines.erase(0, end + 1);
-            if (line.find_first_not_of(" \t\r") != std::string::npos && !take_object(line)) co_return;
-        }
-        if (lines.size() > kLongestLine) co_return;
-        if (reader.state() == parse::HttpReader::State::kDone) {
-            if (!stream && !lines.empty()) take_object(lines);
-            co_return;
-        }
-        co_await waiter.wait(net::kRead | (written < request.size() ? net::kWrite : 0U), heard + kSilence);
-    }
+    return watch_lines(scheduler_, {discovery_, std::move(target), stream, kLongestLine, kSilence},
+                       [this](const std::string& line) { return take_object(line); });
 }
 
 bool ListWatch::take_object(std::string_view text) {
--- /dev/null
+++ b/src/service/placement_side.hpp
@@ -0,0 +1,82 @@
+// Carries out what the gatherer and the follower decide: stands between the client sides and the exchange,
+// watches the map at discovery, and tells the decision module which servers hold a piece, by the present map.
+// Each leg is a multiget of the exchange, and passes through the module as any other.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "placement/gatherer.hpp"
+#include "placement/heat.hpp"
+#include "placement/map_follower.hpp"
+#include "placement/terms.hpp"
+#include "service/exchange.hpp"
+
+namespace pinedoor::service {
+
+class PlacementSide : public Asker, public Routes, public Holders {
+public:
+    PlacementSide(net::Scheduler& scheduler, Log& log, placement::PlacementTerms terms,
+                  placement::GatherTerms gather, net::Endpoint discovery, std::uint64_t seed);
+
+    void join(Exchange& exchange) { exchange_ = &exchange; }
+    void start();
+    void move_to(net::Endpoint discovery);  // as ListWatch's
+
+    std::pair<Asked, Ticket> ask(MultigetAsked asked, std::function<void(Ending)> ended) override;
+    store::PartFates leave(Ticket multiget) override;
+    Asked could_take(const std::string& name) const override { return exchange_->could_take(name); }
+
+    std::shared_ptr<const std::string> text(int route,
+                                            const std::shared_ptr<const std::string>& text) override;
+    void refused(int route, std::uint64_t epoch) override;
+    std::vector<ServerId> of(int shard) const override;
+
+    std::string print_gauges() const;
+
+private:
+    struct Open {
+        MultigetAsked asked;
+        std::function<void(Ending)> ended;
+        std::map<int, Ticket> legs;
+    };
+    net::Task run();
+    void watch();
+    bool take_line(const std::string& line);
+    void look();
+    void act(placement::Gatherer::Actions actions);
+    void carry_out(const placement::gathering::AskLeg& leg);
+    void carry_out(const placement::gathering::LeaveLeg& leg);
+    void carry_out(const placement::gathering::WantMap& want);
+    void carry_out(const placement::gathering::Wake& wake);
+    void carry_out(const placement::gathering::End& end);
+    void leg_ended(placement::Number number, int leg, Ending ending);
+
+    net::Scheduler& scheduler_;
+    Log& log_;
+    const placement::PlacementTerms terms_;
+    net::Endpoint discovery_;
+    Exchange* exchange_ = nullptr;
+    placement::BoxNames names_;
+    placement::MapFollower follower_;
+    placement::Gatherer gatherer_;
+    placement::HeatBook heat_;
+    std::map<placement::Number, Open> open_;
+    placement::Number last_number_ = 0;
+    std::deque<placement::gathering::Action> to_do_;
+    bool acting_ = false;
+    Time wake_at_ = net::kNever;
+    std::uint64_t proposals_ = 0;
+    net::Waiter waiter_;
+    net::Task watching_;
+    net::Task fetching_;
+    net::Task task_;  // last: goes first
+};
+
+}  // namespace pinedoor::service
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -265,6 +265,15 @@
     }
     const auto key = at->second;
     if (sent_.at(key).stage != Stage::kOut) return false;  // answered before it was asked
+    if (result->end == parse::ResultEnd::kMoved) {
+        std::uint64_t epoch = 0;
+        const auto* last = result->value.data() + result->value.size();
+        const auto [end, error] = std::from_chars(result->value.data(), last, epoch);
+        if (!exchange_.has_routes() || error != std::errc{} || end != last) return false;
+        connection.answered = result->id;
+        if (const auto call = take_sent(key)) exchange_.moved(*call, epoch, read_report(result->report));
+        return true;
+    }
     connection.answered = result->id;
     const auto outcome = result->end == parse::ResultEnd::kDone   ? Outcome::kReturned
                          : result->end == parse::ResultEnd::kFull ? Outcome::kFull
@@ -394,8 +403,13 @@
 }
 
 void ServerSide::end_send(SendKey key, Outcome outcome, std::vector<double> load, std::string value) {
+    if (const auto call = take_sent(key)) exchange_.over(*call, outcome, std::move(load), std::move(value));
+}
+
+// The send is over here; whoever takes it tells the exchange.
+std::optional<PartCall> ServerSide::take_sent(const SendKey& key) {
     const auto at = sent_.find(key);
-    if (!must_hold(at != sent_.end(), counters_)) return;
+    if (!must_hold(at != sent_.end(), counters_)) return std::nullopt;
     auto& sent = at->second;
     if (auto* connection = sent.on; connection != nullptr) {
         --connection->sends;
@@ -404,9 +418,9 @@
         if (!connection->busy()) connection->stream.waiter().signal();
     }
     set_due(key, sent, net::kNever);
-    const auto call = std::move(sent.call);
+    auto call = std::move(sent.call);
     sent_.erase(at);
-    exchange_.over(call, outcome, std::move(load), std::move(value));
+    return call;
 }
 
 void ServerSide::set_due(const SendKey& key, Sent& sent, Time due) {
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -101,6 +101,7 @@
     void give_up(Sent& sent);
     // By value: the key may stand in what is erased here.
     void end_send(SendKey key, Outcome outcome, std::vector<double> load = {}, std::string value = {});
+    std::optional<PartCall> take_sent(const SendKey& key);
     void set_due(const SendKey& key, Sent& sent, Time due);
     void close(Connection& connection, Count cause);
     void finish(Connection& connection);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -280,7 +280,12 @@
     }
     std::vector<const Card*> holders(const ShardRing& ring, int shard) const {  // by their ids
         std::vector<const Card*> found;
-        for (int j = 0; j < ring.width && j < ring.places; ++j) {
+        if (ring.holders != nullptr) {
+            for (const auto& id : ring.holders->of(shard)) {
+                if (const auto card = cards.find(id); card != cards.end()) found.push_back(&card->second);
+            }
+        }
+        for (int j = ring.holders != nullptr ? ring.width : 0; j < ring.width && j < ring.places; ++j) {
             const auto place = at_place.find((shard + j) % ring.places);
             if (place == at_place.end()) continue;
             for (const auto& id : place->second) found.push_back(&cards.at(id));
--- a/src/stated/installation.cpp
+++ b/src/stated/installation.cpp
@@ -81,6 +81,31 @@
     table.finish();
 }
 
+void read_placement(TomlTable table, placement::PlacementTerms& terms) {
+    terms.on = table.flag("on", false);
+    terms.path = table.text("path", terms.path);
+    if (terms.path.empty() || terms.path.front() != '/') table.reject("path", "must begin with /");
+    terms.further_share = table.number("further_share", terms.further_share, 0, 1);
+    terms.most_legs = static_cast<int>(table.whole("most_legs", terms.most_legs, 1, 100));
+    terms.ask_again = time(table, "ask_again_ms", terms.ask_again, 1, 60'000);
+    auto merge = table.table("merge");
+    for (const auto& name : merge.keys()) {
+        const auto rule = merge.word(name, {"whole", "sum", "ranked", "concatenated"});
+        terms.merge[name] = *placement::merge_rule_named(rule);
+    }
+    merge.finish();
+    auto heat = table.table("heat");
+    terms.heat.split_above = heat.number("split_above", terms.heat.split_above, 0.1, 1e9);
+    terms.heat.merge_below = heat.number("merge_below", terms.heat.merge_below, 0, 1e9);
+    if (terms.heat.merge_below > 0.6 * terms.heat.split_above)
+        heat.reject("merge_below", "is above 0.6 of split_above: a split would be merged again");
+    terms.heat.look = time(heat, "look_ms", terms.heat.look, 10, 3'600'000);
+    terms.heat.looks = static_cast<int>(heat.whole("looks", terms.heat.looks, 1, 1'000));
+    terms.heat.rest = time(heat, "rest_ms", terms.heat.rest, 0, 86'400'000);
+    heat.finish();
+    table.finish();
+}
+
 }  // namespace
 
 Installation Installation::from_text(std::string_view text, const std::string& path) {
@@ -92,6 +117,7 @@
     installation.log.level = log.word("level", {"info", "debug", "warning", "error"});
     log.finish();
     read_store(table.table("store"), installation.store);
+    read_placement(table.table("placement"), installation.placement);
     table.finish();
     return installation;
 }
--- a/src/stated/installation.hpp
+++ b/src/stated/installation.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "placement/terms.hpp"
 #include "stated/stated.hpp"
 #include "store/terms.hpp"
 
@@ -18,6 +19,7 @@
 struct Installation {
     LogWords log;
     store::StoreTerms store;
+    placement::PlacementTerms placement;
 
     // Throw BadStated; its text names the file, the line, the key and the mend.
     static Installation read_file(const std::string& path);
--- a/src/stated/toml_table.cpp
+++ b/src/stated/toml_table.cpp
@@ -137,6 +137,12 @@
     return {node == nullptr ? empty_table() : *node->as_table(), path_ + key + '.', file_};
 }
 
+std::vector<std::string> TomlTable::keys() const {
+    std::vector<std::string> names;
+    for (const auto& [key, node] : table_) names.emplace_back(key.str());
+    return names;
+}
+
 void TomlTable::finish() const {
     for (const auto& [key, node] : table_) {
         const std::string name(key.str());
--- a/src/stated/toml_table.hpp
+++ b/src/stated/toml_table.hpp
@@ -35,6 +35,7 @@
     }
     void forget(const std::string& key) { known_.insert(key); }  // it is known, and not asked for
 
+    std::vector<std::string> keys() const;  // as written
     bool has(const std::string& key) const { return table_.contains(key); }
     void finish() const;  // throws BadStated for a key that nobody asked for
     [[noreturn]] void reject(const std::string& key, const std::string& why) const;
--- /dev/null
+++ b/tests/placement/front_test.cpp
@@ -0,0 +1,293 @@
+// The front node with a map of shards, on loopback: real answers while shards split, merge and move.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "stand_ins/boxes.hpp"
+
+namespace {
+
+using namespace pinedoor::test;
+using namespace pinedoor::placement;
+
+constexpr int kSplits = 12;
+
+// What all of the data set says of some count splits.
+std::string whole(const std::vector<int>& splits) {
+    std::string text = "200 {\"whole\":true,\"results\":[";
+    for (const int split : splits) {
+        const auto [first, last] = Gatherer::keys_of(split, kSplits);
+        text += (text.back() == '[' ? "" : ",") + std::string("{\"partition\":") + std::to_string(split) +
+                ",\"value\":\"" + std::to_string(points_in(first, last)) + "\"}";
+    }
+    return text + "]}";
+}
+
+const std::string kOn =
+    "[placement]\non = true\nask_again_ms = 5\nmost_legs = 8\n[placement.merge]\nagain = \"sum\"\nonce = "
+    "\"sum\"\n";
+
+struct Fleet {
+    explicit Fleet(std::size_t count, std::size_t shards, std::size_t replicas = 2)
+        : boxes(count), map(ShardMap::even(shards, ids(count), replicas)) {
+        for (std::size_t b = 1; b <= count; ++b) names.number("s-" + std::to_string(b));
+        boxes.know(map);
+        discovery.list(boxes.listed());
+        discovery.map(print_map(map, names));
+        program = std::make_unique<Program>(boxes.listed(), discovery.at());
+        program->with_settings(kOn);
+    }
+    static std::vector<BoxId> ids(std::size_t count) {
+        std::vector<BoxId> all;
+        for (std::size_t b = 1; b <= count; ++b) all.push_back(static_cast<BoxId>(b));
+        return all;
+    }
+    void go() {
+        client = program->start().client();
+        CHECK(program->counter_at("map_version", map.version()) == map.version());
+    }
+    std::string ask(const std::string& op_type, const std::string& name, const std::vector<int>& splits) {
+        say(op_type, name, splits);
+        return client.answer();
+    }
+    void say(const std::string& op_type, const std::string& name, const std::vector<int>& splits) {
+        client.say(post(op_type, name, asks(splits, op_type == "once" ? "once" : "sum")));
+    }
+    // The boxes take the step, and discovery would tell it; the front node hears of it by tell().
+    void step(const Step& step) {
+        auto made = map.after(step);
+        if (auto* refused = std::get_if<ShardMap::Refused>(&made)) FAIL(refused->why);
+        untold.push_back(step);
+        map = std::get<ShardMap>(made);
+        boxes.know(map);
+        discovery.map(print_map(map, names));
+    }
+    void tell() {
+        discovery.say(print_changes(map.version() - untold.size(), untold, names));
+        untold.clear();
+    }
+    ShardId id() { return next_id++; }
+
+    Boxes boxes;
+    MapDiscovery discovery;
+    BoxNames names;
+    ShardMap map;
+    std::vector<Step> untold;
+    ShardId next_id = 1'000;
+    std::unique_ptr<Program> program;
+    Peer client;
+};
+
+TEST_CASE("parts go where the map says, in pieces where a shard ends within them, and come back as one") {
+    Fleet fleet(3, 5);  // twelve splits lie in five shards unevenly
+    fleet.go();
+    CHECK(fleet.ask("again", "t1", {0, 2, 3}) == whole({0, 2, 3}));
+    CHECK(fleet.ask("once", "t2", {2}) == whole({2}));
+    CHECK(fleet.program->counter("parts_divided") == 2);
+    CHECK(fleet.boxes.run_twice("once") == 0);
+    // What must not run twice went to owners alone.
+    for (const auto& run : fleet.boxes.runs()) {
+        if (run.query == "once") CHECK(fleet.map.at(run.first).owner() == run.box + 1);
+    }
+    CHECK(fleet.program->counter("pieces_refused") == 0);
+    CHECK(fleet.program->counter("invariants_broken") == 0);
+}
+
+TEST_CASE(
+    "a node that is three versions behind learns it from a refusal, asks for the map, and answers whole") {
+    Fleet fleet(2, 3);
+    fleet.go();
+    const auto first = Gatherer::keys_of(5, kSplits).first;
+    fleet.step(Split{fleet.map.at(first).id, first + 1'000'000, fleet.id(), fleet.id()});
+    fleet.step(PassOwnership{fleet.map.at(first).id, fleet.map.at(first).owner() == 1 ? 2U : 1U});
+    fleet.step(Split{fleet.map.at(first + 2'000'000).id, first + 3'000'000, fleet.id(), fleet.id()});
+    CHECK(fleet.ask("once", "t1", {5}) == whole({5}));
+    CHECK(fleet.ask("again", "t2", {4, 5, 6}) == whole({4, 5, 6}));
+    CHECK(fleet.program->counter("pieces_refused") >= 1);
+    CHECK(fleet.program->counter("map_version") == 4);
+    CHECK(fleet.boxes.run_twice("once") == 0);
+}
+
+TEST_CASE(
+    "a split with a hundred parts open: each part becomes its children's, and each multiget one answer") {
+    Fleet fleet(2, 2);
+    fleet.program->with("\"max_open\":40", "\"max_open\":400");
+    fleet.go();
+    // A node that has just begun gives its servers little at once.
+    for (int i = 0; i < 40; ++i)
+        CHECK(fleet.ask("again", "w" + std::to_string(i), {0, 1, 2, 3, 4, 5}) == whole({0, 1, 2, 3, 4, 5}));
+    fleet.boxes.hold(true);
+    std::vector<Peer> clients;
+    for (int i = 0; i < 17; ++i) {
+        clients.push_back(fleet.program->client());
+        clients.back().say(post("again", "t" + std::to_string(i), asks({0, 1, 2, 3, 4, 5}, "sum")));
+    }
+    CHECK(fleet.program->counter_at("open_parts", 102) == 102);
+    for (int tries = 0; tries < 200 && fleet.boxes.waiting() < 102; ++tries) usleep(5'000);
+    const auto at_boxes = fleet.boxes.waiting();
+    CHECK(at_boxes >= 12);
+    const auto middle = Gatherer::keys_of(2, kSplits).first + 77;
+    fleet.step(Split{fleet.map.at(middle).id, middle, fleet.id(), fleet.id()});
+    fleet.tell();
+    CHECK(fleet.program->counter_at("map_version", 2) == 2);
+    fleet.boxes.hold(false);
+    for (auto& client : clients) CHECK(client.answer() == whole({0, 1, 2, 3, 4, 5}));
+    CHECK(fleet.program->counter("pieces_refused") >= at_boxes);
+    MESSAGE("parts at the boxes " << at_boxes << ", given up " << fleet.program->counter("pieces_given_up")
+                                  << ", pushed back " << fleet.program->counter("multigets_pushed_back"));
+    CHECK(fleet.program->counter("invariants_broken") == 0);
+}
+
+TEST_CASE("two shards merge under a multiget: its parts are asked of the one, and are two values still") {
+    Fleet fleet(1, 6, 1);
+    fleet.go();
+    fleet.boxes.hold(true);
+    fleet.say("once", "t1", {0, 2});  // of the first two shards
+    for (int tries = 0; tries < 800 && fleet.boxes.waiting() < 2; ++tries) usleep(5'000);
+    fleet.step(Merge{fleet.map.at(0).id, fleet.map.at(Gatherer::keys_of(2, kSplits).first).id, fleet.id()});
+    fleet.tell();
+    fleet.boxes.hold(false);
+    CHECK(fleet.client.answer() == whole({0, 2}));
+    CHECK(fleet.boxes.run_twice("once") == 0);
+    CHECK(fleet.program->counter("map_shards") == 5);
+}
+
+TEST_CASE("a map with a hole, an overlap or two owners is refused by name and the old one goes on") {
+    Fleet fleet(2, 4);
+    fleet.go();
+    const auto refused = [&](std::vector<Shard> shards, const std::string& words, std::uint64_t count) {
+        std::string text = "{\"version\":9,\"shards\":[";
+        for (const auto& shard : shards) {
+            const auto one = print_map(
+                ShardMap::of({{shard.id, 0, ~Key{0}, shard.epoch, {{1, Role::kOwner}}}}), fleet.names);
+            auto object = one.substr(one.find('[') + 1);
+            object.erase(object.rfind("]}"));
+            object.replace(object.find("\"first\":\"0\""), 11, "\"first\":\"" + print_key(shard.first) + '"');
+            object.replace(object.find("ffffffffffffffff"), 16, print_key(shard.last));
+            text += (text.back() == '[' ? "" : ",") + object;
+        }
+        fleet.discovery.say(text + "]}");
+        CHECK(fleet.program->counter_at("maps_refused", count) == count);
+        CHECK(fleet.program->log().find(words) != std::string::npos);
+    };
+    auto shards = fleet.map.shards();
+    auto hole = shards;
+    hole.erase(hole.begin() + 1);
+    refused(hole, "map version 9: no shard holds the keys from", 1);
+    auto overlap = shards;
+    ++overlap[0].last;
+    refused(overlap, "overlaps with the one before it", 2);
+    auto two = print_map(fleet.map, fleet.names);
+    two.replace(two.find("\"reader\""), 8, "\"owner\"");
+    two.replace(two.find("\"version\":1"), 11, "\"version\":9");
+    fleet.discovery.say(two);
+    CHECK(fleet.program->counter_at("maps_refused", 3) == 3);
+    CHECK(fleet.program->log().find("has 2 owners") != std::string::npos);
+    CHECK(fleet.program->counter("map_version") == 1);
+    CHECK(fleet.ask("again", "t1", {0, 11}) == whole({0, 11}));
+}
+
+TEST_CASE(
+    "discovery down in the middle of a change: nothing runs twice, nothing is guessed, and it goes on "
+    "after") {
+    Fleet fleet(2, 3);
+    fleet.go();
+    const auto first = Gatherer::keys_of(1, kSplits).first;
+    fleet.discovery.down(true);
+    const auto& shard = fleet.map.at(first);
+    fleet.step(PassOwnership{shard.id, shard.owner() == 1 ? 2U : 1U});
+    fleet.client.say(post("once", "t1", asks({1}, "once"), 600));
+    CHECK(fleet.client.answer().starts_with("503"));  // refused as never run, and where it is nobody told
+    CHECK(fleet.boxes.runs().empty());
+    fleet.discovery.down(false);
+    CHECK(fleet.program->counter_at("map_version", 2) == 2);
+    CHECK(fleet.ask("once", "t2", {1}) == whole({1}));
+    CHECK(fleet.boxes.run_twice("once") == 0);
+}
+
+TEST_CASE("steady load while the map changes without end: every answer is that of the whole data set") {
+    Fleet fleet(3, 4);
+    fleet.program->with("\"max_open\":40", "\"max_open\":400");
+    fleet.go();
+    std::atomic<bool> done = false;
+    std::vector<std::string> wrong;
+    int wholes = 0, refusals = 0;
+    std::mutex mutex;
+    std::vector<std::thread> threads;
+    for (int t = 0; t < 3; ++t) {
+        threads.emplace_back([&, t] {
+            auto client = fleet.program->client();
+            for (int i = 0; !done; ++i) {
+                const bool once = (i + t) % 3 == 0;
+                const std::vector<int> splits =
+                    once ? std::vector<int>{(i * 5 + t) % kSplits}
+                         : std::vector<int>{i % kSplits, (i + 3) % kSplits, (i + 7) % kSplits};
+                const auto name = "t" + std::to_string(t) + "x" + std::to_string(i);
+                client.say(post(once ? "once" : "again", name, asks(splits, once ? "once" : "sum")));
+                const auto answer = client.answer();
+                const std::lock_guard lock(mutex);
+                if (answer == whole(splits))
+                    ++wholes;
+                else if (answer.starts_with("503") || answer.starts_with("500"))
+                    ++refusals;
+                else if (answer.find("\"whole\":false") == std::string::npos)
+                    wrong.push_back(answer);
+                else  // in part: what is there must be right
+                    for (const int split : splits) {
+                        const auto one = whole({split});
+                        const auto value = one.substr(one.find("{\"partition\""));
+                        const auto part = value.substr(0, value.size() - 2);
+                        if (answer.find("\"partition\":" + std::to_string(split) + ',') !=
+                                std::string::npos &&
+                            answer.find(part) == std::string::npos)
+                            wrong.push_back(answer);
+                    }
+            }
+        });
+    }
+    std::mt19937_64 chance(11);
+    for (int change = 0; change < 60; ++change) {
+        const auto all = fleet.map.shards();
+        const auto at = chance() % all.size();
+        const auto& one = all[at];
+        BoxId to = one.owner();
+        for (const auto& each : one.replicas) to = each.role == Role::kReader ? each.box : to;
+        Step step = PassOwnership{one.id, to};
+        if (change % 3 == 0 && all.size() < 20)
+            step = Split{one.id, one.first + 1 + chance() % (one.last - one.first), fleet.id(), fleet.id()};
+        if (change % 3 == 1 && at + 1 < all.size()) {
+            auto here = one.replicas, next = all[at + 1].replicas;
+            std::sort(here.begin(), here.end());
+            std::sort(next.begin(), next.end());
+            if (here == next) step = Merge{one.id, all[at + 1].id, fleet.id()};
+        }
+        fleet.step(step);
+        usleep(static_cast<useconds_t>(chance() % 20'000));
+        if (change % 4 != 2) fleet.tell();
+        usleep(static_cast<useconds_t>(chance() % 20'000));
+    }
+    done = true;
+    for (auto& thread : threads) thread.join();
+    CHECK(wrong == std::vector<std::string>{});
+    CHECK(wholes > 100);
+    CHECK(wholes > 20 * refusals);
+    CHECK(fleet.boxes.run_twice("once") == 0);
+    CHECK(fleet.program->counter("pieces_refused") > 0);
+    CHECK(fleet.program->counter("invariants_broken") == 0);
+    MESSAGE("whole " << wholes << ", refused or failed " << refusals << ", pieces refused "
+                     << fleet.program->counter("pieces_refused"));
+}
+
+TEST_CASE("without placement a box that says moved breaks the protocol, and no map is asked for") {
+    Fleet fleet(1, 1, 1);
+    fleet.program->with_settings("[placement]\non = false\n");
+    fleet.client = fleet.program->start().client();
+    fleet.client.say(post("once", "t1", asks({1}, "once")));
+    CHECK(fleet.client.answer() == "500");
+    CHECK(fleet.program->counter("bad_frames") == 1);
+    CHECK(fleet.discovery.asked() == 0);
+    CHECK(fleet.program->counter("map_version") == 999'999);
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/stand_ins/boxes.hpp
@@ -0,0 +1,284 @@
+// Boxes that hold shards of a small data set and answer by it, and a discovery that tells the list and the
+// map. What a box owns is set by the test; each part is run only under the epoch that it owns, and every run
+// is noted, so that a test can say that nothing ran twice.
+//
+// The data set: 1,200 points spread evenly over all keys. A part's value is how many lie in its keys.
+#pragma once
+
+#include <poll.h>
+
+#include <atomic>
+#include <limits>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "placement/gatherer.hpp"
+#include "placement/map_text.hpp"
+#include "placement/shard_map.hpp"
+#include "stand_ins.hpp"
+
+namespace pinedoor::test {
+
+inline std::uint64_t points_in(placement::Key first, placement::Key last) {
+    const placement::Key step = std::numeric_limits<placement::Key>::max() / 1'200;
+    const placement::Key from = first / step + (first % step == 0 ? 0 : 1), upto = last / step;
+    return upto >= from ? upto - from + 1 : 0;
+}
+
+struct Run {
+    std::size_t box = 0;
+    std::string multiget;  // as the client named it
+    placement::Key first = 0, last = 0;
+    std::string query;
+};
+
+class Boxes {
+public:
+    explicit Boxes(std::size_t count) : boxes_(count) {
+        thread_ = std::thread([this] { run(); });
+    }
+    ~Boxes() {
+        stop_ = true;
+        thread_.join();
+    }
+    std::vector<Listed> listed() const {
+        std::vector<Listed> all;
+        for (std::size_t b = 0; b < boxes_.size(); ++b)
+            all.push_back({"s-" + std::to_string(b + 1), boxes_[b].listener.at()});
+        return all;
+    }
+
+    // All boxes, or one (from 1), own and read by this map from now on.
+    void know(const placement::ShardMap& map) {
+        for (std::size_t b = 1; b <= boxes_.size(); ++b) know(map, b);
+    }
+    void know(const placement::ShardMap& map, std::size_t box) {
+        const std::lock_guard lock(mutex_);
+        auto& mine = boxes_[box - 1].shards;
+        std::map<placement::ShardId, Held> next;
+        for (const auto& shard : map.shards()) {
+            for (const auto& each : shard.replicas) {
+                if (each.box == box) next[shard.id] = {shard, each.role == placement::Role::kOwner, true};
+            }
+        }
+        for (auto& [id, held] : mine) {  // what it held once it knows to be elsewhere by now
+            if (next.contains(id)) continue;
+            const auto* now = map.find(id);
+            held.here = false;
+            held.shard.epoch = now == nullptr ? held.shard.epoch + (held.gone ? 0 : 1) : now->epoch;
+            held.gone = true;
+            next[id] = held;
+        }
+        mine = std::move(next);
+    }
+    // Parts wait at the boxes until they are let go; then they are looked at.
+    void hold(bool held) { held_ = held; }
+    std::size_t waiting() const {
+        const std::lock_guard lock(mutex_);
+        return waiting_;
+    }
+    std::vector<Run> runs() const {
+        const std::lock_guard lock(mutex_);
+        return runs_;
+    }
+    // Of one query: pairs of runs of one multiget with keys in common.
+    std::size_t run_twice(const std::string& query) const {
+        const std::lock_guard lock(mutex_);
+        std::map<std::string, std::vector<const Run*>> by_name;
+        std::size_t twice = 0;
+        for (const auto& each : runs_) {
+            if (each.query != query) continue;
+            auto& others = by_name[each.multiget];
+            for (const auto* other : others) twice += each.first <= other->last && other->first <= each.last;
+            others.push_back(&each);
+        }
+        return twice;
+    }
+
+private:
+    struct Held {
+        placement::Shard shard;
+        bool owner = false;
+        bool here = true;
+        bool gone = false;
+    };
+    struct Box {
+        Listener listener;
+        std::map<placement::ShardId, Held> shards;
+    };
+    struct Part {
+        std::string id, query;
+        placement::ShardId shard = 0;
+        placement::Epoch epoch = 0;
+        placement::Key first = 0, last = 0;
+    };
+    struct Link {
+        std::size_t box = 0;
+        Peer peer;
+        std::vector<Part> parts;
+    };
+
+    void run() {
+        std::vector<Link> links;
+        while (!stop_) {
+            std::vector<pollfd> polled;
+            for (const auto& box : boxes_) polled.push_back({box.listener.fd(), POLLIN, 0});
+            for (const auto& link : links) polled.push_back({link.peer.fd(), POLLIN, 0});
+            poll(polled.data(), polled.size(), 2);
+            for (std::size_t i = links.size(); i-- > 0;) {
+                bool open = true;
+                if (polled[boxes_.size() + i].revents != 0) {
+                    do open = read(links[i]);
+                    while (open && links[i].peer.holds_more());
+                }
+                if (!open) {
+                    links.erase(links.begin() + static_cast<std::ptrdiff_t>(i));
+                    continue;
+                }
+                if (!held_) answer(links[i]);
+            }
+            std::size_t waiting = 0;
+            for (const auto& link : links) waiting += link.parts.size();
+            {
+                const std::lock_guard lock(mutex_);
+                waiting_ = waiting;
+            }
+            for (std::size_t b = 0; b < boxes_.size(); ++b) {
+                if (polled[b].revents != 0) links.push_back({b, boxes_[b].listener.accept(), {}});
+            }
+        }
+    }
+
+    static bool read(Link& link) {
+        const auto frame = link.peer.frame();
+        if (frame == "nothing") return false;
+        std::istringstream in(frame.substr(1));
+        if (frame[0] == 'C') {
+            std::string id;
+            in >> id;
+            std::erase_if(link.parts, [&id](const Part& part) { return part.id == id; });
+            return true;
+        }
+        Part part;
+        std::string route, first, last;
+        for (std::size_t size = 0; in >> part.id >> route >> size;) {
+            in.ignore(1);
+            std::string text(size, 0);
+            in.read(text.data(), static_cast<std::streamsize>(size));
+            std::istringstream head(text);
+            char at = 0;
+            head >> at >> part.shard >> part.epoch >> first >> last;
+            head.ignore(1);
+            std::getline(head, part.query);
+            part.first = placement::read_key(first).value_or(1);
+            part.last = placement::read_key(last).value_or(0);
+            link.parts.push_back(part);
+        }
+        return true;
+    }
+
+    void answer(Link& link) {
+        const std::lock_guard lock(mutex_);
+        for (const auto& part : std::exchange(link.parts, {})) {
+            const auto at = boxes_[link.box].shards.find(part.shard);
+            const auto* held = at == boxes_[link.box].shards.end() ? nullptr : &at->second;
+            const bool runs = held != nullptr && held->here && held->shard.epoch == part.epoch &&
+                              (held->owner || part.query != "once") && held->shard.holds(part.first) &&
+                              held->shard.holds(part.last);
+            if (!runs) {
+                link.peer.reply(part.id, "moved", std::to_string(held == nullptr ? 0 : held->shard.epoch));
+                continue;
+            }
+            auto name = part.id.substr(0, part.id.find('.'));
+            runs_.push_back({link.box, name.substr(0, name.find('~')), part.first, part.last, part.query});
+            link.peer.reply(part.id, "done", std::to_string(points_in(part.first, part.last)));
+        }
+    }
+
+    std::vector<Box> boxes_;
+    mutable std::mutex mutex_;
+    std::vector<Run> runs_;
+    std::size_t waiting_ = 0;
+    std::atomic<bool> held_ = false;
+    std::atomic<bool> stop_ = false;
+    std::thread thread_;
+};
+
+class MapDiscovery {
+public:
+    MapDiscovery() {
+        thread_ = std::thread([this] { run(); });
+    }
+    ~MapDiscovery() {
+        stop_ = true;
+        thread_.join();
+    }
+    net::Endpoint at() const { return listener_.at(); }
+
+    void list(std::vector<Listed> members) {
+        const std::lock_guard lock(mutex_);
+        members_ = std::move(members);
+    }
+    void map(const std::string& whole) {  // told to whoever asks from now on
+        const std::lock_guard lock(mutex_);
+        whole_ = whole;
+    }
+    void say(const std::string& line) {  // to all who watch
+        const std::lock_guard lock(mutex_);
+        say_.push_back(line);
+    }
+    void down(bool is_down) { down_ = is_down; }  // who asks is turned away, and watches end
+    std::size_t asked() const { return asked_; }  // for the map
+
+private:
+    void run() {
+        std::vector<Peer> lists, maps;
+        for (int turn = 0; !stop_; ++turn) {
+            pollfd ready{listener_.fd(), POLLIN, 0};
+            if (poll(&ready, 1, 5) == 1) {
+                auto peer = listener_.accept();
+                const auto head = peer.read_to("\r\n\r\n");
+                const std::lock_guard lock(mutex_);
+                const bool shards = head.find("/discovery/shards") != std::string::npos;
+                const bool stream = head.find("stream=1") != std::string::npos;
+                const auto text = shards ? whole_ : list_object(1, true, members_);
+                if (shards) ++asked_;
+                if (down_) continue;
+                if (!stream) {
+                    peer.say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) +
+                             "\r\nConnection: close\r\n\r\n" + text);
+                    continue;
+                }
+                peer.say(kStream + (text.empty() ? "" : chunk(text + '\n')));
+                (shards ? maps : lists).push_back(std::move(peer));
+            }
+            if (down_) {
+                lists.clear();
+                maps.clear();
+            }
+            const std::lock_guard lock(mutex_);
+            for (const auto& line : std::exchange(say_, {})) {
+                for (auto& peer : maps) peer.say(chunk(line + '\n'));
+            }
+            if (turn % 100 != 0) continue;
+            for (auto& peer : lists) peer.say(chunk("\n"));
+            for (auto& peer : maps) peer.say(chunk("\n"));
+        }
+    }
+
+    Listener listener_;
+    mutable std::mutex mutex_;
+    std::vector<Listed> members_;
+    std::string whole_;
+    std::vector<std::string> say_;
+    std::atomic<std::size_t> asked_ = 0;
+    std::atomic<bool> down_ = false;
+    std::atomic<bool> stop_ = false;
+    std::thread thread_;
+};
+
+}  // namespace pinedoor::test
