--- a/src/placement/box_guard.hpp
+++ b/src/placement/box_guard.hpp
@@ -21,7 +21,8 @@
 class BoxGuard {
 public:
     BoxGuard() = default;
-    BoxGuard(bool owns, Epoch epoch) : owns_(owns), has_copy_(owns), epoch_(epoch) {}
+    BoxGuard(bool owns, Epoch epoch, bool reads = false)
+        : owns_(owns), reads_(reads), has_copy_(owns || reads), epoch_(epoch) {}
 
     struct Verdict {
         bool run = false;
@@ -32,6 +33,13 @@
         return {false, fenced_by_ != 0 || !owns_ ? std::max(epoch_, passed_to_) : epoch_};
     }
 
+    // What may run as often as it likes runs at readers too, and behind a fence: whoever has the data of the
+    // epoch. After a fence that is the old owner's until the switch, and both boxes' right then.
+    Verdict may_read(Epoch epoch) const {
+        if ((owns_ || reads_) && epoch == epoch_) return {true, epoch_};
+        return {false, std::max(epoch_, passed_to_)};
+    }
+
     // Requests of a move; false: it is of one that has ended here, and nothing has changed.
     bool copy(MoveId move) {
         if (move <= ended_) return false;
@@ -52,6 +60,17 @@
         if (owns_ && epoch_ == epoch) return true;
         if (move <= ended_ || !has_copy_) return false;
         owns_ = true;
+        reads_ = false;
+        epoch_ = epoch;
+        return true;
+    }
+    // It reads from now on, by this epoch; an owner whose ownership has been passed, too.
+    bool read(MoveId move, Epoch epoch) {
+        if (reads_ && epoch_ >= epoch) return true;
+        if (move <= ended_ || !has_copy_ || (owns_ && fenced_by_ != move)) return false;
+        owns_ = false;
+        fenced_by_ = 0;
+        reads_ = true;
         epoch_ = epoch;
         return true;
     }
@@ -59,13 +78,14 @@
         if (move < ended_) return false;
         ended_ = std::max(ended_, move);
         if (owns_ && fenced_by_ != move) return false;  // it owns by another move: what it has is needed
-        owns_ = has_copy_ = false;
+        owns_ = reads_ = has_copy_ = false;
         fenced_by_ = 0;
         passed_to_ = std::max(passed_to_, passed_to);
         return true;
     }
 
     bool owns() const { return owns_; }
+    bool reads() const { return reads_; }
     bool fenced() const { return fenced_by_ != 0; }
     bool has_copy() const { return has_copy_; }
     Epoch epoch() const { return epoch_; }
@@ -76,6 +96,7 @@
 
 private:
     bool owns_ = false;
+    bool reads_ = false;
     bool has_copy_ = false;
     Epoch epoch_ = 0;
     Epoch passed_to_ = 0;  // the epoch that the shard had when it went away
--- a/src/placement/map_text.hpp
+++ b/src/placement/map_text.hpp
@@ -29,7 +29,7 @@
     const std::string& name(BoxId box) const;  // empty: there is none
 
 private:
-    const std::size_t most_;
+    std::size_t most_;
     std::map<std::string, BoxId> numbers_;
     std::vector<std::string> names_{""};  // 0 is no box
 };
--- /dev/null
+++ b/src/placement/move_desk.cpp
@@ -0,0 +1,84 @@
+#include "placement/move_desk.hpp"
+
+#include <algorithm>
+
+namespace pinedoor::placement {
+
+std::string MoveDesk::fault_of(const DeskTerms& terms) {
+    if (terms.at_once == 0 || terms.at_once_box == 0) return "no move may go on at all";
+    if (!(terms.resume_below < terms.pause_above)) return "resume_below must lie under pause_above";
+    if (terms.looks < 1) return "a look must count";
+    return {};
+}
+
+void MoveDesk::add(const WantedMove& wanted) {
+    const auto behind = std::upper_bound(waiting_.begin(), waiting_.end(), wanted,
+                                         [](const WantedMove& a, const WantedMove& b) {
+                                             return std::pair{!a.begun, a.wave} < std::pair{!b.begun, b.wave};
+                                         });
+    waiting_.insert(behind, wanted);
+}
+
+bool MoveDesk::fits(const WantedMove& wanted) const {
+    if (going_on_.size() >= terms_.at_once) return false;
+    std::size_t from = 0, to = 0;
+    for (const auto& [id, other] : going_on_) {
+        if (other.shard == wanted.shard || other.wave < wanted.wave) return false;
+        from += other.from == wanted.from ? 1 : 0;
+        to += other.to == wanted.to ? 1 : 0;
+    }
+    return from < terms_.at_once_box && to < terms_.at_once_box;
+}
+
+std::vector<MoveId> MoveDesk::begin() {
+    std::vector<MoveId> begun;
+    for (auto at = waiting_.begin(); at != waiting_.end();) {
+        // What had begun must end, whatever else is the case: a fence may stand.
+        const bool may = at->begun || (!paused() && !stopped_ && fits(*at));
+        const bool earlier_waits =
+            std::any_of(waiting_.begin(), at, [&](const WantedMove& other) { return other.wave < at->wave; });
+        if (!may || (earlier_waits && !at->begun)) {
+            ++at;
+            continue;
+        }
+        going_on_[at->id] = *at;
+        begun.push_back(at->id);
+        at = waiting_.erase(at);
+    }
+    return begun;
+}
+
+void MoveDesk::ended(MoveId id, End end) {
+    if (going_on_.erase(id) == 0 || end != End::kUndone) return;
+    stopped_ = true;
+    stopped_by_ = id;
+}
+
+void MoveDesk::drop(MoveId id) {
+    std::erase_if(waiting_, [id](const WantedMove& each) { return each.id == id; });
+}
+
+MoveDesk::Did MoveDesk::look(double pressure) {
+    above_ = pressure > terms_.pause_above ? above_ + 1 : 0;
+    below_ = pressure < terms_.resume_below ? below_ + 1 : 0;
+    if (!paused_ && above_ >= terms_.looks) {
+        paused_ = true;
+        return Did::kPaused;
+    }
+    if (paused_ && below_ >= terms_.looks) {
+        paused_ = false;
+        return Did::kResumed;
+    }
+    return Did::kNothing;
+}
+
+bool MoveDesk::done() const { return going_on_.empty() && (waiting_.empty() || stopped_); }
+
+std::string MoveDesk::why() const {
+    if (stopped_) return "move " + std::to_string(stopped_by_) + " was undone; plan again";
+    if (paused_by_hand_) return "paused by hand";
+    if (paused_) return "paused: the fleet is under pressure";
+    return {};
+}
+
+}  // namespace pinedoor::placement
--- a/src/placement/mover.cpp
+++ b/src/placement/mover.cpp
@@ -13,6 +13,26 @@
     return kNames.at(static_cast<std::size_t>(step));
 }
 
+std::string_view name_of(MoveKind kind) {
+    static constexpr std::array<std::string_view, 5> kNames{"owner", "pass", "reader", "copy", "remove"};
+    return kNames.at(static_cast<std::size_t>(kind));
+}
+
+std::optional<MoveKind> move_kind_named(std::string_view name) {
+    for (const auto kind :
+         {MoveKind::kOwner, MoveKind::kPass, MoveKind::kReader, MoveKind::kCopy, MoveKind::kRemove}) {
+        if (name_of(kind) == name) return kind;
+    }
+    return std::nullopt;
+}
+
+std::optional<MoveStep> move_step_named(std::string_view name) {
+    for (int step = 0; step <= static_cast<int>(MoveStep::kUndone); ++step) {
+        if (name_of(static_cast<MoveStep>(step)) == name) return static_cast<MoveStep>(step);
+    }
+    return std::nullopt;
+}
+
 std::vector<Action> Mover::start(Time now) {
     now_ = now;
     // A step that was kept is durable; what was answered to the mover before is asked anew.
--- a/src/placement/mover.hpp
+++ b/src/placement/mover.hpp
@@ -21,6 +21,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -46,6 +47,19 @@
     kUndone
 };
 std::string_view name_of(MoveStep step);
+std::optional<MoveStep> move_step_named(std::string_view name);
+
+// What moves. A reader's move needs no fence, and passing to a reader no copy: the carrier answers those
+// steps itself.
+enum class MoveKind : std::uint8_t {
+    kOwner,   // ownership and data, from one box to another that has none of it
+    kPass,    // ownership, to a box that reads; the old owner reads from then on
+    kReader,  // a reader's data
+    kCopy,    // one more reader; `from` has it and keeps it
+    kRemove   // a reader goes; `to` is none
+};
+std::string_view name_of(MoveKind kind);
+std::optional<MoveKind> move_kind_named(std::string_view name);
 
 struct Move {  // as it is kept
     MoveId id = 0;
@@ -53,6 +67,7 @@
     BoxId from = 0, to = 0;
     Epoch epoch = 0;  // the shard's, before
     MoveStep step = MoveStep::kPrepare;
+    MoveKind kind = MoveKind::kOwner;
     bool operator==(const Move&) const = default;
 };
 
--- a/src/service/placement_side.cpp
+++ b/src/service/placement_side.cpp
@@ -10,6 +10,7 @@
 using namespace placement;
 constexpr std::size_t kLongestMap = std::size_t{64} << 20U;
 constexpr Time kSilence = 30'000;
+constexpr std::size_t kHottest = 20;  // shards that the counters name
 
 store::PartFate to_store(PieceFate fate) { return static_cast<store::PartFate>(fate); }
 PieceFate from_store(store::PartFate fate) { return static_cast<PieceFate>(fate); }
@@ -261,6 +262,8 @@
     append_line(out, "pieces_given_up", gathered.given_up);
     append_line(out, "values_not_merged", gathered.unmerged);
     append_line(out, "placement_proposals", proposals_);
+    for (const auto& [shard, load] : heat_.hottest(kHottest))
+        append_line(out, "heat_shard_" + std::to_string(shard), static_cast<std::uint64_t>(load + 0.5));
     return out;
 }
 
--- /dev/null
+++ b/src/stated/fleet_file.cpp
@@ -0,0 +1,93 @@
+#include "stated/fleet_file.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "stated/toml_table.hpp"
+
+namespace pinedoor::stated {
+namespace {
+
+using namespace placement;
+constexpr std::int64_t kMany = 1'000'000;
+constexpr double kMuch = 1e15;
+
+void read_limits(TomlTable table, PlanTerms& terms) {
+    terms.fill = table.number("fill", terms.fill, 0.01, 1);
+    terms.near_enough = table.number("near_enough", terms.near_enough, 0, 10);
+    const auto count = [&table](const char* key, std::size_t otherwise, std::int64_t least) {
+        return static_cast<std::size_t>(table.whole(key, static_cast<std::int64_t>(otherwise), least, kMany));
+    };
+    terms.most_copies = count("most_copies", terms.most_copies, 0);
+    terms.at_once = count("at_once", terms.at_once, 1);
+    terms.at_once_box = count("at_once_box", terms.at_once_box, 1);
+    terms.sound = count("sound", terms.sound, 1);
+    table.finish();
+}
+
+Box read_box(TomlTable table, FleetFile& file) {
+    Box box;
+    const auto name = table.text("name", "");
+    if (name.empty()) table.reject("name", "is missing; write the box's id in the list");
+    if (file.names.find(name)) table.reject("name", "stands for two boxes");
+    box.id = *file.names.number(name);
+    const auto zone = table.text("zone", "");
+    const auto at = std::find(file.zones.begin(), file.zones.end(), zone);
+    box.zone = static_cast<int>(at - file.zones.begin());
+    if (at == file.zones.end()) file.zones.push_back(zone);
+    box.capacity = table.number("capacity", 1, 1e-9, kMuch);
+    box.space = table.number("space", 1, 0, kMuch);
+    box.draining = table.flag("draining", false);
+    table.finish();
+    return box;
+}
+
+Need read_need(TomlTable table, const BoxNames& names) {
+    Need need;
+    need.shard = static_cast<ShardId>(table.whole("id", 0, 1, INT64_MAX));
+    const auto boxes = [&](const char* key) {
+        std::vector<BoxId> found;
+        for (const auto& name : table.texts(key)) {
+            const auto box = names.find(name);
+            if (!box) table.reject(key, "names '" + name + "', which is no box");
+            found.push_back(*box);
+        }
+        return found;
+    };
+    for (const auto box : boxes("replicas"))
+        need.now.push_back({box, need.now.empty() ? Role::kOwner : Role::kReader});
+    need.reads = table.number("reads", 0, 0, kMuch);
+    need.writes = table.number("writes", 0, 0, kMuch);
+    need.size = table.number("size", 0, 0, kMuch);
+    need.replicas = static_cast<std::size_t>(
+        table.whole("wanted", std::max<std::int64_t>(1, static_cast<std::int64_t>(need.now.size())), 1, 100));
+    need.pinned = boxes("pinned");
+    need.never_on = boxes("never_on");
+    table.finish();
+    return need;
+}
+
+}  // namespace
+
+FleetFile fleet_from_text(std::string_view text, const std::string& path) {
+    const auto parsed = parse_toml(text, path);
+    TomlTable table(parsed, "", path);
+    FleetFile file;
+    read_limits(table.table("limits"), file.fleet.terms);
+    for (auto& each : table.tables("boxes")) file.fleet.boxes.push_back(read_box(std::move(each), file));
+    for (auto& each : table.tables("shards"))
+        file.fleet.shards.push_back(read_need(std::move(each), file.names));
+    table.finish();
+    if (const auto fault = fault_of(file.fleet); !fault.empty()) throw BadStated(path + ": " + fault);
+    return file;
+}
+
+FleetFile read_fleet_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) throw BadStated(path + ": cannot be read; name a file that exists");
+    return fleet_from_text(text.str(), path);
+}
+
+}  // namespace pinedoor::stated
--- /dev/null
+++ b/src/stated/fleet_file.hpp
@@ -0,0 +1,28 @@
+// A fleet as an operator states it, for `pinedoor shards check` and `plan` (docs/placement.md has an
+// example):
+//
+//   [limits]   fill, near_enough, most_copies, at_once, at_once_box, sound
+//   [[boxes]]  name, zone, capacity, space, draining
+//   [[shards]] id, replicas = ["s-1", "s-2"] (the first is the owner), reads, writes, size, wanted, pinned,
+//              never_on
+#pragma once
+
+#include <string>
+
+#include "placement/map_text.hpp"
+#include "placement/planner.hpp"
+#include "stated/stated.hpp"
+
+namespace pinedoor::stated {
+
+struct FleetFile {
+    placement::Fleet fleet;
+    placement::BoxNames names;
+    std::vector<std::string> zones;
+};
+
+// Throw BadStated; its text names the file, the line, the key and the mend.
+FleetFile read_fleet_file(const std::string& path);
+FleetFile fleet_from_text(std::string_view text, const std::string& path);
+
+}  // namespace pinedoor::stated
--- /dev/null
+++ b/src/store/move_journal.cpp
@@ -0,0 +1,141 @@
+#include "store/move_journal.hpp"
+
+namespace pinedoor::store {
+namespace {
+
+constexpr const char* kOpen = "step NOT IN ('done', 'undone')";
+
+Value number(std::uint64_t value) { return static_cast<std::int64_t>(value); }
+Value text(std::string_view value) { return std::string(value); }
+
+JournalMove read(const Row& row) {
+    JournalMove made;
+    made.move.id = static_cast<placement::MoveId>(number_of(row.at(0)));
+    made.move.shard = static_cast<placement::ShardId>(number_of(row.at(1)));
+    made.move.from = static_cast<placement::BoxId>(number_of(row.at(2)));
+    made.move.to = static_cast<placement::BoxId>(number_of(row.at(3)));
+    made.move.epoch = static_cast<placement::Epoch>(number_of(row.at(4)));
+    const auto step = placement::move_step_named(text_of(row.at(5)));
+    const auto kind = placement::move_kind_named(text_of(row.at(6)));
+    if (!step || !kind)
+        throw SqlError(SqlError::Kind::kSchema,
+                       "move " + std::to_string(made.move.id) + " has a step or kind that is not known here");
+    made.move.step = *step;
+    made.move.kind = *kind;
+    made.wave = static_cast<std::size_t>(number_of(row.at(7)));
+    made.from = text_of(row.at(8));
+    made.to = text_of(row.at(9));
+    made.map = static_cast<std::uint64_t>(number_of(row.at(10)));
+    made.wish = text_of(row.at(11));
+    made.since = number_of(row.at(12));
+    made.note = text_of(row.at(13));
+    return made;
+}
+
+}  // namespace
+
+void MoveJournal::init() {
+    Transaction transaction(db_);
+    db_.run(
+        "CREATE TABLE IF NOT EXISTS shard_moves(id bigint PRIMARY KEY, shard bigint NOT NULL, from_box "
+        "bigint "
+        "NOT NULL, to_box bigint NOT NULL, epoch bigint NOT NULL, step text NOT NULL, kind text NOT NULL, "
+        "wave "
+        "bigint NOT NULL, from_name text NOT NULL, to_name text NOT NULL, map bigint NOT NULL, wish text NOT "
+        "NULL, since bigint NOT NULL, note text NOT NULL)");
+    db_.run(
+        "CREATE TABLE IF NOT EXISTS shard_mover(one bigint PRIMARY KEY, who text NOT NULL, until bigint NOT "
+        "NULL, paused bigint NOT NULL)");
+    db_.run(
+        "INSERT INTO shard_mover(one, who, until, paused) VALUES (1, '', 0, 0) ON CONFLICT (one) DO NOTHING");
+    transaction.commit();
+}
+
+bool MoveJournal::take_lease(const std::string& who, std::int64_t lease) {
+    Transaction transaction(db_);
+    db_.run(
+        "UPDATE shard_mover SET who = $1, until = pinedoor_now() + $2 WHERE one = 1 AND (who = $1 OR until < "
+        "pinedoor_now())",
+        {who, lease});
+    const auto rows = db_.run("SELECT who FROM shard_mover WHERE one = 1");
+    const bool mine = !rows.empty() && text_of(rows[0].at(0)) == who;
+    transaction.commit();
+    return mine;
+}
+
+void MoveJournal::leave_lease(const std::string& who) {
+    db_.run("UPDATE shard_mover SET until = 0 WHERE one = 1 AND who = $1", {who});
+}
+
+std::string MoveJournal::holder() {
+    const auto rows = db_.run("SELECT who FROM shard_mover WHERE one = 1 AND until >= pinedoor_now()");
+    return rows.empty() ? "" : text_of(rows[0].at(0));
+}
+
+std::vector<JournalMove> MoveJournal::add(std::vector<JournalMove> moves) {
+    Transaction transaction(db_);
+    const auto rows = db_.run("SELECT max(id) FROM shard_moves");
+    auto id = rows.empty() ? 0 : number_of(rows[0].at(0));
+    for (auto& each : moves) {
+        each.move.id = static_cast<placement::MoveId>(++id);
+        db_.run(
+            "INSERT INTO shard_moves(id, shard, from_box, to_box, epoch, step, kind, wave, from_name, "
+            "to_name, "
+            "map, wish, since, note) VALUES ($1, $2, $3, $4, $5, $6, $7, $8, $9, $10, $11, '', "
+            "pinedoor_now(), "
+            "'')",
+            {number(each.move.id), number(each.move.shard), number(each.move.from), number(each.move.to),
+             number(each.move.epoch), text(name_of(each.move.step)), text(name_of(each.move.kind)),
+             number(each.wave), each.from, each.to, number(each.map)});
+    }
+    transaction.commit();
+    return moves;
+}
+
+void MoveJournal::keep(const placement::Move& move, const std::string& who) {
+    Transaction transaction(db_);
+    // The lease is written, not only read: two movers' transactions meet in this row.
+    db_.run("UPDATE shard_mover SET until = until WHERE one = 1 AND who = $1", {who});
+    const auto rows = db_.run("SELECT who FROM shard_mover WHERE one = 1");
+    if (rows.empty() || text_of(rows[0].at(0)) != who)
+        throw LostLease("another mover carries the moves: " + (rows.empty() ? "" : text_of(rows[0].at(0))));
+    db_.run("UPDATE shard_moves SET step = $2, epoch = $3, since = pinedoor_now() WHERE id = $1",
+            {number(move.id), text(name_of(move.step)), number(move.epoch)});
+    transaction.commit();
+}
+
+std::vector<JournalMove> MoveJournal::moves(bool open_only) {
+    std::vector<JournalMove> all;
+    const std::string columns =
+        "SELECT id, shard, from_box, to_box, epoch, step, kind, wave, from_name, to_name, map, wish, since, "
+        "note "
+        "FROM shard_moves ";
+    for (const auto& row :
+         db_.run(columns + (open_only ? "WHERE " + std::string(kOpen) : "") + " ORDER BY id"))
+        all.push_back(read(row));
+    return all;
+}
+
+bool MoveJournal::wish(placement::MoveId id, const std::string& what) {
+    Transaction transaction(db_);
+    const auto rows =
+        db_.run("SELECT id FROM shard_moves WHERE id = $1 AND " + std::string(kOpen), {number(id)});
+    if (!rows.empty()) db_.run("UPDATE shard_moves SET wish = $2 WHERE id = $1", {number(id), what});
+    transaction.commit();
+    return !rows.empty();
+}
+
+void MoveJournal::note(placement::MoveId id, const std::string& text) {
+    db_.run("UPDATE shard_moves SET note = $2 WHERE id = $1", {number(id), text});
+}
+
+void MoveJournal::pause(bool paused) {
+    db_.run("UPDATE shard_mover SET paused = $1 WHERE one = 1", {std::int64_t{paused ? 1 : 0}});
+}
+
+bool MoveJournal::paused() {
+    const auto rows = db_.run("SELECT paused FROM shard_mover WHERE one = 1");
+    return !rows.empty() && number_of(rows[0].at(0)) != 0;
+}
+
+}  // namespace pinedoor::store
--- a/src/tool/command_line.cpp
+++ b/src/tool/command_line.cpp
@@ -10,6 +10,7 @@
 #include "store/keeper.hpp"
 #include "store/sql.hpp"
 #include "tool/serve.hpp"
+#include "tool/shard_commands.hpp"
 #include "tool/store_commands.hpp"
 
 namespace pinedoor::tool {
@@ -60,6 +61,7 @@
         app.add_subcommand("check", "Say whether a configuration can be used; exit 3 if not");
     check_command->add_option("file", checked, "Our TOML (*.toml) or the platform's JSON")->required();
     add_store_commands(app, code);
+    add_shard_commands(app, code);
     try {
         app.parse(count, words);
         if (served->parsed() || app.get_subcommands().empty()) code = serve(serve_words);
--- /dev/null
+++ b/src/tool/shard_commands.cpp
@@ -0,0 +1,407 @@
+#include "tool/shard_commands.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "stated/fleet_file.hpp"
+#include "stated/installation.hpp"
+#include "store/make_backend.hpp"
+#include "tool/command_line.hpp"
+#include "tool/shard_carrier.hpp"
+#ifdef PINEDOOR_HAS_GLPK
+#include "placement/exact.hpp"
+#endif
+
+namespace pinedoor::tool {
+namespace {
+
+using namespace placement;
+using Json = nlohmann::ordered_json;
+constexpr int kBar = 40;  // columns of a plot
+
+std::string bar(double share, double most) {
+    const auto length = most > 0 ? static_cast<std::size_t>(share / most * kBar + 0.5) : 0;
+    return std::string(std::min<std::size_t>(length, kBar), '#');
+}
+
+class ShardCommands {
+public:
+    ShardCommands(CLI::App& app, int& code) : code_(code) {
+        group_ = app.add_subcommand("shards", "See, plan and move shards, and stop moves");
+        group_->require_subcommand(1);
+        group_->footer(
+            "Examples:\n  pinedoor shards plan fleet.toml\n"
+            "  pinedoor shards -s deploy/pinedoor.toml --discovery 10.0.0.5:7000 apply fleet.toml --dry-run\n"
+            "  pinedoor shards -s deploy/pinedoor.toml abort 17\n"
+            "  pinedoor shards heat --node 10.0.0.7:8080 --node 10.0.0.8:8080");
+        group_->add_option("-s,--settings", settings_, "Our TOML, which tells where the journal is")
+            ->envname("PINEDOOR_SETTINGS");
+        group_->add_option("--sqlite", sqlite_,
+                           "A SQLite file for the journal, instead of the settings' store");
+        group_->add_option("--discovery", discovery_, "HOST:PORT of discovery, an IPv4 address");
+        group_->add_option("--path", path_, "Of the map at discovery")->capture_default_str();
+        add_all();
+    }
+
+private:
+    CLI::App* command(const char* name, const char* what, std::function<int()> run) {
+        auto* added = group_->add_subcommand(name, what);
+        added->callback([this, run = std::move(run)] { code_ = run(); });
+        return added;
+    }
+
+    void add_all() {
+        auto* show = command("show", "The map as discovery tells it", [this] { return this->show(); });
+        show->add_flag("--json", json_, "The map as one JSON object");
+        auto* check = command("check", "Say whether a fleet's file can be used; exit 3 if not",
+                              [this] { return this->check(); });
+        check->add_option("file", file_, "The fleet's TOML")->required();
+        auto* plan =
+            command("plan", "Where replicas should be, and the steps there; exit 3 if something is unmet",
+                    [this] { return this->plan_it(); });
+        plan->add_option("file", file_, "The fleet's TOML")->required();
+        plan->add_flag("--json", json_, "One JSON object");
+        plan->add_flag("--exact", exact_, "The best there is, by GLPK: small fleets alone");
+        plan->add_option("--seconds", seconds_, "For --exact")->capture_default_str();
+        auto* apply =
+            command("apply", "Plan, and carry the moves out; without a file, go on with those that wait",
+                    [this] { return this->apply(); });
+        apply->add_option("file", file_, "The fleet's TOML");
+        apply->add_flag("--dry-run", dry_run_, "Only list the moves");
+        apply->add_option("--node", nodes_,
+                          "HOST:PORT of a front node: moves pause while nodes turn much away");
+        apply->add_option("--at-once", desk_.at_once, "Moves that go on")->capture_default_str();
+        apply->add_option("--at-once-box", desk_.at_once_box, "Of them from one box, and to one")
+            ->capture_default_str();
+        apply->add_option("--pause-above", desk_.pause_above, "Share of multigets turned away or failed")
+            ->capture_default_str();
+        apply->add_option("--resume-below", desk_.resume_below, "Likewise")->capture_default_str();
+        apply->add_option("--lease-ms", lease_ms_, "After so long another one may carry the moves")
+            ->capture_default_str()
+            ->check(CLI::Range(100, 3'600'000));
+        command("pause", "Begin no move, and go on with none that has not fenced yet",
+                [this] { return this->pause(true); });
+        command("resume", "Go on", [this] { return this->pause(false); });
+        auto* abort = command("abort", "Undo a move, unless it has switched; exit 3 if there is none",
+                              [this] { return this->abort(); });
+        abort->add_option("move", move_, "Its number, as `history` prints it")->required();
+        auto* history =
+            command("history", "All moves, and who carries them", [this] { return this->history(); });
+        history->add_flag("--json", json_, "A JSON object a line");
+        history->add_flag("--open", open_, "Only those that have not ended");
+        auto* heat =
+            command("heat", "The hottest shards by what front nodes count", [this] { return this->heat(); });
+        heat->add_option("--node", nodes_, "HOST:PORT of a front node")->required();
+        heat->add_flag("--json", json_, "A JSON object a line");
+    }
+
+    static net::Endpoint endpoint(const std::string& text, const char* option) {
+        const auto at = net::parse_endpoint(text);
+        if (!at) throw Unusable(std::string(option) + " is '" + text + "'; write an IPv4 address and a port");
+        return *at;
+    }
+
+    std::unique_ptr<store::SqlDb> open_journal() {
+        store::StoreTerms terms;
+        if (!settings_.empty()) terms = stated::Installation::read_file(settings_).store;
+        if (!sqlite_.empty()) {
+            terms.kind = store::Kind::kSqlite;
+            terms.sqlite_file = sqlite_;
+        }
+        if (terms.kind == store::Kind::kNone)
+            throw Unusable(
+                "no store is named for the journal; give --settings FILE with [store] kind, or --sqlite");
+        auto db = store::open_db(terms);
+        if (db->kind() == "postgres" && store::schema_version(*db) == 0)
+            throw Unusable("the store is empty; run `pinedoor store init`");
+        store::MoveJournal(*db).init();
+        return db;
+    }
+
+    int show() {
+        BoxNames names;
+        const auto seen = see_fleet(endpoint(discovery_, "--discovery"), path_, names, 2'000);
+        if (json_) {
+            std::printf("%s\n", print_map(seen.map, names).c_str());
+            return kDone;
+        }
+        std::printf("version %llu, %zu shards\n%-8s %-17s %-17s %6s  %s\n",
+                    static_cast<unsigned long long>(seen.map.version()), seen.map.size(), "shard", "first",
+                    "last", "epoch", "boxes, the owner first");
+        for (const auto& shard : seen.map.shards()) {
+            auto text = names.name(shard.owner());
+            for (const auto& each : shard.replicas) {
+                if (each.role == Role::kReader) text += ' ' + names.name(each.box);
+            }
+            std::printf("%-8llu %-17s %-17s %6llu  %s\n", static_cast<unsigned long long>(shard.id),
+                        print_key(shard.first).c_str(), print_key(shard.last).c_str(),
+                        static_cast<unsigned long long>(shard.epoch), text.c_str());
+        }
+        return kDone;
+    }
+
+    int check() {
+        try {
+            const auto file = stated::read_fleet_file(file_);
+            std::printf("%s: good, %zu boxes, %zu shards\n", file_.c_str(), file.fleet.boxes.size(),
+                        file.fleet.shards.size());
+            return kDone;
+        } catch (const stated::BadStated& error) {
+            std::printf("%s\n", error.what());
+            return kAmiss;
+        }
+    }
+
+    Plan make_plan(const stated::FleetFile& file) {
+        if (!exact_) return plan(file.fleet);
+#ifdef PINEDOOR_HAS_GLPK
+        std::string why;
+        const auto best = exact_target(file.fleet, seconds_, why);
+        if (!best) throw Unusable(why);
+        if (!best->proven) std::fprintf(stderr, "pinedoor: the time ran out: not proven to be the best\n");
+        return order_steps(file.fleet, best->target);
+#else
+        throw Unusable("this pinedoor was built without GLPK; install libglpk-dev and build it again");
+#endif
+    }
+
+    std::string words(const PlanStep& step, const BoxNames& names) const {
+        const auto shard = "shard " + std::to_string(step.shard);
+        switch (step.kind) {
+            case PlanStep::Kind::kCopy:
+                return "copy " + shard + "  " + names.name(step.from) + " -> " + names.name(step.to);
+            case PlanStep::Kind::kPass:
+                return "pass " + shard + "  " + names.name(step.from) + " -> " + names.name(step.to);
+            case PlanStep::Kind::kRemove: return "remove " + shard + "  " + names.name(step.from);
+        }
+        return {};
+    }
+
+    int plan_it() {
+        const auto file = stated::read_fleet_file(file_);
+        const auto made = make_plan(file);
+        const auto code = made.unmet.empty() ? kDone : kAmiss;
+        std::vector<std::vector<Replica>> now;
+        for (const auto& need : file.fleet.shards) now.push_back(need.now);
+        const auto before = loads(file.fleet, now), after = loads(file.fleet, made.target);
+        if (json_) {
+            Json json;
+            json["fullest_before"] = made.fullest_before;
+            json["fullest_after"] = made.fullest_after;
+            json["copies"] = made.copies;
+            json["moved"] = made.bytes_moved;
+            json["unmet"] = made.unmet;
+            json["boxes"] = Json::array();
+            for (std::size_t b = 0; b < before.size(); ++b)
+                json["boxes"].push_back({{"name", file.names.name(file.fleet.boxes[b].id)},
+                                         {"before", before[b]},
+                                         {"after", after[b]}});
+            json["waves"] = Json::array();
+            for (const auto& wave : made.waves) {
+                auto& list = json["waves"].emplace_back(Json::array());
+                for (const auto& step : wave) list.push_back(words(step, file.names));
+            }
+            std::printf("%s\n", json.dump().c_str());
+            return code;
+        }
+        std::printf("fullest box %.3f -> %.3f of its capacity; %zu copies, %.6g moved, %zu waves\n",
+                    made.fullest_before, made.fullest_after, made.copies, made.bytes_moved,
+                    made.waves.size());
+        const double most = std::max(made.fullest_before, made.fullest_after);
+        for (std::size_t b = 0; b < before.size(); ++b) {
+            std::printf("%-16s before %6.3f %s\n%-16s after  %6.3f %s\n",
+                        file.names.name(file.fleet.boxes[b].id).c_str(), before[b],
+                        bar(before[b], most).c_str(), "", after[b], bar(after[b], most).c_str());
+        }
+        for (std::size_t w = 0; w < made.waves.size(); ++w) {
+            for (const auto& step : made.waves[w])
+                std::printf("wave %zu: %s\n", w + 1, words(step, file.names).c_str());
+        }
+        for (const auto& each : made.unmet) std::printf("unmet: %s\n", each.c_str());
+        return code;
+    }
+
+    // The moves that the plan takes, under the map as it is. The file must say what the map says.
+    std::vector<store::JournalMove> moves_of(const stated::FleetFile& file, const FleetSeen& seen,
+                                             BoxNames& names) {
+        const auto made = make_plan(file);
+        if (!made.unmet.empty()) throw Unusable("the plan leaves something unmet: " + made.unmet.front());
+        std::map<ShardId, std::size_t> first_wave;
+        for (std::size_t w = made.waves.size(); w-- > 0;) {
+            for (const auto& step : made.waves[w]) first_wave[step.shard] = w;
+        }
+        const auto renamed = [&](std::vector<Replica> replicas) {
+            for (auto& each : replicas) each.box = *names.number(file.names.name(each.box));
+            std::sort(replicas.begin(), replicas.end());
+            return replicas;
+        };
+        std::vector<store::JournalMove> all;
+        for (std::size_t s = 0; s < file.fleet.shards.size(); ++s) {
+            const auto& need = file.fleet.shards[s];
+            const auto* shard = seen.map.find(need.shard);
+            const auto now = renamed(need.now);
+            auto told = shard == nullptr ? std::vector<Replica>{} : shard->replicas;
+            std::sort(told.begin(), told.end());
+            if (told != now)
+                throw Unusable("shard " + std::to_string(need.shard) +
+                               " is not where the fleet's file says; see `shards show`");
+            auto wave = first_wave.contains(need.shard) ? first_wave[need.shard] : 0;
+            for (auto& move : moves_between(need.shard, shard->epoch, now, renamed(made.target[s]))) {
+                move.wave = wave++;
+                move.from = names.name(move.move.from);
+                move.to = names.name(move.move.to);
+                move.map = seen.map.version();
+                all.push_back(std::move(move));
+            }
+        }
+        std::stable_sort(all.begin(), all.end(),
+                         [](const auto& a, const auto& b) { return a.wave < b.wave; });
+        return all;
+    }
+
+    int apply() {
+        if (const auto fault = MoveDesk::fault_of(desk_); !fault.empty()) throw Unusable(fault);
+        CarrierTerms terms;
+        terms.discovery = endpoint(discovery_, "--discovery");
+        terms.path = path_;
+        terms.desk = desk_;
+        terms.lease = lease_ms_ * 10;
+        for (const auto& node : nodes_) terms.nodes.push_back(endpoint(node, "--node"));
+        char host[256] = {};
+        gethostname(host, sizeof host - 1);
+        terms.who = std::string(host) + '/' + std::to_string(getpid());
+        const auto db = dry_run_ ? nullptr : open_journal();
+        if (!file_.empty()) {
+            BoxNames names;
+            const auto seen = see_fleet(terms.discovery, path_, names, 2'000);
+            auto moves = moves_of(stated::read_fleet_file(file_), seen, names);
+            if (db) {
+                store::MoveJournal journal(*db);
+                if (!journal.moves(true).empty())
+                    throw Unusable("moves of an earlier plan have not ended; see `shards history --open`");
+                moves = journal.add(std::move(moves));
+            }
+            for (const auto& each : moves)
+                std::printf("%s of shard %llu  %s -> %s\n", std::string(name_of(each.move.kind)).c_str(),
+                            static_cast<unsigned long long>(each.move.shard), each.from.c_str(),
+                            each.to.empty() ? "-" : each.to.c_str());
+            std::fflush(stdout);
+        }
+        if (!db) return kDone;
+        ShardCarrier carrier(*db, terms, [](const std::string& line) {
+            std::printf("%s\n", line.c_str());
+            std::fflush(stdout);
+        });
+        return carrier.run() ? kDone : kAmiss;
+    }
+
+    int pause(bool paused) {
+        const auto db = open_journal();
+        store::MoveJournal(*db).pause(paused);
+        std::printf("%s\n", paused ? "paused" : "resumed");
+        return kDone;
+    }
+
+    int abort() {
+        const auto db = open_journal();
+        if (!store::MoveJournal(*db).wish(move_, "abort")) {
+            std::printf("there is no move %llu that goes on\n", static_cast<unsigned long long>(move_));
+            return kAmiss;
+        }
+        std::printf("move %llu is to be undone; whoever carries it says how that went\n",
+                    static_cast<unsigned long long>(move_));
+        return kDone;
+    }
+
+    int history() {
+        const auto db = open_journal();
+        store::MoveJournal journal(*db);
+        const auto holder = journal.holder();
+        if (!json_)
+            std::printf("%s%s\n", holder.empty() ? "nobody carries moves" : ("carried by " + holder).c_str(),
+                        journal.paused() ? ", paused" : "");
+        for (const auto& each : journal.moves(open_)) {
+            if (json_) {
+                std::printf("%s\n", Json{{"move", each.move.id},
+                                         {"kind", name_of(each.move.kind)},
+                                         {"shard", each.move.shard},
+                                         {"from", each.from},
+                                         {"to", each.to},
+                                         {"step", name_of(each.move.step)},
+                                         {"wave", each.wave},
+                                         {"map", each.map},
+                                         {"wish", each.wish},
+                                         {"note", each.note}}
+                                        .dump()
+                                        .c_str());
+                continue;
+            }
+            std::printf("%-6llu %-8s shard %-8llu %s -> %s  %s%s%s%s\n",
+                        static_cast<unsigned long long>(each.move.id),
+                        std::string(name_of(each.move.kind)).c_str(),
+                        static_cast<unsigned long long>(each.move.shard), each.from.c_str(),
+                        each.to.empty() ? "-" : each.to.c_str(), std::string(name_of(each.move.step)).c_str(),
+                        each.wish.empty() ? "" : ", wished: ", each.wish.c_str(),
+                        each.note.empty() ? "" : (", " + each.note).c_str());
+        }
+        return kDone;
+    }
+
+    int heat() {
+        std::map<std::uint64_t, std::uint64_t> load;
+        std::uint64_t proposals = 0;
+        for (const auto& node : nodes_) {
+            const auto answer = ask_http(endpoint(node, "--node"), "GET", "/counters", "", 2'000);
+            if (!answer || answer->status != 200) throw Unusable("no counters from " + node);
+            std::istringstream in(answer->body);
+            std::uint64_t value = 0;
+            constexpr std::string_view kName = "heat_shard_";
+            for (std::string name; in >> name >> value;) {
+                if (name.starts_with(kName))
+                    load[std::strtoull(name.c_str() + kName.size(), nullptr, 10)] += value;
+                if (name == "placement_proposals") proposals += value;
+            }
+        }
+        std::vector<std::pair<std::uint64_t, std::uint64_t>> sorted(load.begin(), load.end());
+        std::sort(sorted.begin(), sorted.end(),
+                  [](const auto& a, const auto& b) { return a.second > b.second; });
+        for (const auto& [shard, parts] : sorted) {
+            if (json_)
+                std::printf("%s\n", Json{{"shard", shard}, {"parts_per_second", parts}}.dump().c_str());
+            else
+                std::printf(
+                    "shard %-8llu %8llu parts a second  %s\n", static_cast<unsigned long long>(shard),
+                    static_cast<unsigned long long>(parts),
+                    bar(static_cast<double>(parts), static_cast<double>(sorted.front().second)).c_str());
+        }
+        if (!json_)
+            std::printf("%llu proposals so far; the nodes' logs name them (placement_proposed)\n",
+                        static_cast<unsigned long long>(proposals));
+        return kDone;
+    }
+
+    CLI::App* group_ = nullptr;
+    int& code_;
+    std::string settings_, sqlite_, discovery_, path_ = "/discovery/shards", file_;
+    std::vector<std::string> nodes_;
+    bool json_ = false, exact_ = false, dry_run_ = false, open_ = false;
+    int seconds_ = 30;
+    std::int64_t lease_ms_ = 10'000;
+    std::uint64_t move_ = 0;
+    DeskTerms desk_;
+};
+
+}  // namespace
+
+void add_shard_commands(CLI::App& app, int& code) {
+    auto commands = std::make_shared<ShardCommands>(app, code);
+    // Lives as long as the words are parsed: CLI11 keeps pointers to what it fills.
+    app.get_subcommand("shards")->parse_complete_callback([commands] {});
+}
+
+}  // namespace pinedoor::tool
--- /dev/null
+++ b/tests/placement/mover_test.cpp
@@ -0,0 +1,355 @@
+// Moves carried out by `pinedoor shards` on loopback: the mover killed at each step and begun again, two at
+// once, undone, paused; and what must not run twice in flight meanwhile.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <filesystem>
+
+#include "placement/move_desk.hpp"
+#include "stand_ins/boxes.hpp"
+#include "store/move_journal.hpp"
+#include "store/sqlite_db.hpp"
+
+namespace {
+
+using namespace pinedoor::test;
+using namespace pinedoor::placement;
+namespace store = pinedoor::store;
+
+constexpr int kSplits = 12;
+
+struct Folder {
+    Folder() { path = mkdtemp(path.data()); }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::string path = scratch() + "/pinedoor-shards-XXXXXX";
+};
+
+struct Said {
+    std::string text;
+    int code = 0;
+};
+
+// Two shards on three boxes, a front node, and what an operator types.
+struct Yard {
+    Yard() : map(two_shards()) {
+        for (const char* name : {"s-1", "s-2", "s-3"}) names.number(name);
+        boxes.know(map);
+        discovery.list(boxes.listed());
+        discovery.keep(map, names);
+        program = std::make_unique<Program>(boxes.listed(), discovery.at());
+        program->with_settings(
+            "[placement]\non = true\nask_again_ms = 5\nmost_legs = 60\n[placement.merge]\nagain = "
+            "\"sum\"\nonce = "
+            "\"sum\"\n");
+        client = program->start().client();
+        CHECK(program->counter_at("map_version", 1) == 1);
+    }
+    // Box 1 owns both; box 2 reads the first, of the second there is no other.
+    static ShardMap two_shards() {
+        auto shards = ShardMap::even(2, {1, 2}, 2).shards();
+        shards[1].replicas = {{1, Role::kOwner}};
+        return ShardMap::of(shards);
+    }
+    Said shards(const std::string& words, const std::string& crash_at = "") const {
+        const auto command = (crash_at.empty() ? "" : "PINEDOOR_CRASH_AT=" + crash_at + ' ') +
+                             PINEDOOR_PROGRAM + " shards --sqlite " + folder.path +
+                             "/journal.db --discovery " + pinedoor::net::to_text(discovery.at()) + ' ' +
+                             words + " 2>&1";
+        Said said;
+        auto* const pipe = popen(command.c_str(), "r");
+        for (char bytes[4096]; const auto count = fread(bytes, 1, sizeof bytes, pipe);)
+            said.text.append(bytes, count);
+        const int status = pclose(pipe);
+        said.code = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+        if (said.code > 128) said.code = 128 - said.code;  // told by the shell
+        return said;
+    }
+    // Box 1 is to be emptied.
+    std::string fleet() const {
+        const auto path = folder.path + "/fleet.toml";
+        std::ofstream(path) << R"([limits]
+near_enough = 10
+[[boxes]]
+name = "s-1"
+capacity = 100
+space = 100
+draining = true
+[[boxes]]
+name = "s-2"
+capacity = 100
+space = 100
+[[boxes]]
+name = "s-3"
+capacity = 100
+space = 100
+[[shards]]
+id = 1
+replicas = ["s-1", "s-2"]
+reads = 10
+writes = 1
+size = 5
+[[shards]]
+id = 2
+replicas = ["s-1"]
+reads = 10
+writes = 1
+size = 5
+)";
+        return path;
+    }
+    std::string ask(const std::string& op_type, const std::string& name, const std::vector<int>& splits) {
+        client.say(post(op_type, name, asks(splits, op_type == "once" ? "once" : "sum")));
+        return client.answer();
+    }
+    static std::string whole(const std::vector<int>& splits) {
+        std::string text = "200 {\"whole\":true,\"results\":[";
+        for (const int split : splits) {
+            const auto [first, last] = Gatherer::keys_of(split, kSplits);
+            text += (text.back() == '[' ? "" : ",") + std::string("{\"partition\":") + std::to_string(split) +
+                    ",\"value\":\"" + std::to_string(points_in(first, last)) + "\"}";
+        }
+        return text + "]}";
+    }
+    void check_emptied() {
+        const auto now = discovery.kept();
+        for (const auto& shard : now.shards()) {
+            for (const auto& each : shard.replicas) {
+                CHECK(each.box != 1);
+                const auto guard = boxes.guard(each.box, shard.id);
+                CHECK(guard.owns() == (each.role == Role::kOwner));
+                CHECK(guard.epoch() == shard.epoch);
+                CHECK(!guard.fenced());
+            }
+            CHECK(shard.replicas.size() == (shard.id == 1 ? 2 : 1));
+            CHECK(!boxes.guard(1, shard.id).has_copy());
+        }
+        CHECK(program->counter_at("map_version", now.version()) == now.version());
+        CHECK(ask("once", "after", {1}) == whole({1}));
+        CHECK(ask("again", "after2", {0, 5, 11}) == whole({0, 5, 11}));
+        CHECK(boxes.run_twice("once") == 0);
+        CHECK(program->counter("invariants_broken") == 0);
+    }
+
+    Folder folder;
+    Boxes boxes{3};
+    MapDiscovery discovery;
+    BoxNames names;
+    ShardMap map;
+    std::unique_ptr<Program> program;
+    Peer client;
+};
+
+TEST_CASE("a box is emptied by plan, and the journal tells how") {
+    Yard yard;
+    const auto file = yard.fleet();
+    CHECK(yard.shards("check " + file).text == file + ": good, 3 boxes, 2 shards\n");
+    const auto planned = yard.shards("plan " + file);
+    CHECK(planned.code == 0);
+    CHECK(planned.text.find("wave 1: copy shard") != std::string::npos);
+    CHECK(yard.shards("show").text.find("version 1, 2 shards") == 0);
+    const auto dry = yard.shards("apply --dry-run " + file);
+    CHECK(dry.text.find("owner of shard 2  s-1 -> ") != std::string::npos);
+    CHECK(yard.discovery.kept().version() == 1);
+    const auto applied = yard.shards("apply " + file);
+    CHECK_MESSAGE(applied.code == 0, applied.text);
+    yard.check_emptied();
+    const auto history = yard.shards("history").text;
+    CHECK(history.find("nobody carries moves") == 0);
+    CHECK(history.find("owner    shard 2        s-1 -> ") != std::string::npos);
+    CHECK(yard.shards("history --open").text == "nobody carries moves\n");
+    // The file says what was: it is not planned by again.
+    CHECK(yard.shards("apply " + file).code == 1);
+    CHECK(yard.shards("abort 1").code == 3);
+    CHECK(yard.shards("heat --node " + pinedoor::net::to_text(yard.program->at())).code == 0);
+}
+
+TEST_CASE(
+    "the mover is killed at each step, with a part that must not run twice in flight: the next goes on") {
+    for (const char* point :
+         {"keep-prepare", "kept-prepare", "asked-copy", "kept-catch-up", "asked-missing", "kept-fence",
+          "asked-fence", "asked-reach", "keep-switch", "kept-switch", "published", "asked-own", "keep-drain",
+          "kept-drain", "asked-drained", "kept-retire", "asked-drop", "keep-done", "kept-done"}) {
+        CAPTURE(std::string(point));
+        Yard yard;
+        const auto file = yard.fleet();
+        yard.boxes.hold(true);  // it waits at its box, and is looked at after the kill
+        yard.client.say(post("once", "flight", asks({2}, "once")));
+        for (int tries = 0; tries < 800 && yard.boxes.waiting() < 1; ++tries) usleep(2'000);
+        CHECK(yard.shards("apply --lease-ms 100 " + file, point).code == -SIGKILL);
+        yard.boxes.hold(false);
+        usleep(100'000);  // the dead one's lease
+        Said said;
+        for (int tries = 0; tries < 100; ++tries) {
+            said = yard.shards("apply --lease-ms 100");
+            if (said.code != 1) break;
+            usleep(20'000);
+        }
+        CHECK_MESSAGE(said.code == 0, said.text);
+        const auto answer = yard.client.answer();
+        CHECK((answer == Yard::whole({2}) || answer.starts_with("503")));
+        yard.check_emptied();
+    }
+}
+
+TEST_CASE("two movers: one carries, the other says who; a step is not kept by who lost the lease") {
+    Yard yard;
+    const auto file = yard.fleet();
+    CHECK(yard.shards("apply --lease-ms 60000 " + file, "kept-fence").code == -SIGKILL);
+    const auto other = yard.shards("apply");
+    CHECK(other.code == 1);
+    CHECK(other.text.find("moves are carried by ") != std::string::npos);
+    store::SqliteDb db(yard.folder.path + "/journal.db", "", 1'000);
+    store::MoveJournal journal(db);
+    const auto holder = journal.holder();
+    CHECK(!holder.empty());
+    auto moves = journal.moves(true);
+    REQUIRE(!moves.empty());
+    CHECK(moves[0].move.step == MoveStep::kFence);
+    auto next = moves[0].move;
+    next.step = MoveStep::kSwitch;
+    CHECK_THROWS_AS(journal.keep(next, "somebody else"), store::LostLease);
+    CHECK(journal.moves(true)[0].move.step == MoveStep::kFence);
+    CHECK(!journal.take_lease("somebody else", 100));
+    journal.leave_lease(holder);
+    CHECK(journal.take_lease("somebody else", 1));
+    usleep(5'000);
+    CHECK(yard.shards("apply").code == 0);
+    yard.check_emptied();
+}
+
+TEST_CASE("a move is undone from each step before the switch, and not after it") {
+    for (const char* point : {"kept-prepare", "kept-catch-up", "kept-fence", "asked-fence", "asked-reach"}) {
+        CAPTURE(std::string(point));
+        Yard yard;
+        CHECK(yard.shards("apply --lease-ms 100 " + yard.fleet(), point).code == -SIGKILL);
+        for (const int move : {1, 2, 3, 4}) yard.shards("abort " + std::to_string(move));
+        Said said;
+        for (int tries = 0; tries < 100; ++tries) {
+            said = yard.shards("apply --lease-ms 100");
+            if (said.code != 1) break;
+            usleep(20'000);
+        }
+        CHECK(said.code == 3);
+        // What was done before stays: a reader more. Ownership is where it was, and no fence stands.
+        const bool asked = std::string(point).starts_with("asked");
+        if (!asked) CHECK(yard.discovery.kept() == yard.map);
+        for (const auto& shard : yard.discovery.kept().shards()) {
+            CHECK(shard.owner() == 1);
+            CHECK(yard.boxes.guard(1, shard.id).owns());
+            CHECK(!yard.boxes.guard(1, shard.id).fenced());
+        }
+        CHECK(yard.ask("once", "t", {1}) == Yard::whole({1}));
+        CHECK(yard.ask("once", "u", {8}) == Yard::whole({8}));
+        for (const std::size_t box : {2U, 3U}) CHECK(!yard.boxes.guard(box, 2).has_copy());
+        if (!asked) CHECK(!yard.boxes.guard(3, 1).has_copy());
+        CHECK(yard.shards("history").text.find("undone") != std::string::npos);
+    }
+    Yard yard;
+    CHECK(yard.shards("apply --lease-ms 100 " + yard.fleet(), "kept-switch").code == -SIGKILL);
+    yard.shards("abort 1");
+    usleep(150'000);
+    const auto said = yard.shards("apply");
+    CHECK(said.text.find("cannot be aborted any more") != std::string::npos);
+    CHECK(said.code == 0);
+    yard.check_emptied();
+}
+
+TEST_CASE("paused, no move begins; resumed, they do") {
+    Yard yard;
+    CHECK(yard.shards("apply --lease-ms 100 " + yard.fleet(), "keep-prepare").code == -SIGKILL);
+    CHECK(yard.shards("pause").text == "paused\n");
+    usleep(150'000);
+    std::thread resumes([&yard] {
+        usleep(300'000);
+        CHECK(yard.boxes.guard(3, 1).has_copy() == false);
+        yard.shards("resume");
+    });
+    CHECK(yard.shards("apply").code == 0);
+    resumes.join();
+    yard.check_emptied();
+}
+
+TEST_CASE("the desk: so many at once, by box, by shard, in waves; pressure pauses and does not flutter") {
+    CHECK(MoveDesk::fault_of({}) == "");
+    DeskTerms wrong;
+    wrong.resume_below = wrong.pause_above;
+    CHECK(MoveDesk::fault_of(wrong) != "");
+    MoveDesk desk({2, 1, 0.02, 0.005, 2});
+    desk.add({1, 10, 1, 2, 0, false});
+    desk.add({2, 11, 1, 3, 0, false});  // from the same box
+    desk.add({3, 12, 4, 5, 0, false});
+    desk.add({4, 10, 6, 7, 1, false});  // a later wave
+    CHECK(desk.begin() == std::vector<MoveId>{1, 3});
+    CHECK(desk.begin().empty());
+    desk.ended(1, MoveDesk::End::kDone);
+    CHECK(desk.begin() == std::vector<MoveId>{2});
+    desk.ended(3, MoveDesk::End::kDone);
+    CHECK(desk.begin().empty());  // the wave has not ended
+    CHECK(desk.look(0.5) == MoveDesk::Did::kNothing);
+    CHECK(desk.look(0.5) == MoveDesk::Did::kPaused);
+    desk.ended(2, MoveDesk::End::kDone);
+    CHECK(desk.begin().empty());
+    CHECK(desk.why() == "paused: the fleet is under pressure");
+    CHECK(desk.look(0.01) == MoveDesk::Did::kNothing);  // between the marks: as it is
+    CHECK(desk.look(0.01) == MoveDesk::Did::kNothing);
+    CHECK(desk.look(0.001) == MoveDesk::Did::kNothing);
+    CHECK(desk.look(0.001) == MoveDesk::Did::kResumed);
+    CHECK(desk.begin() == std::vector<MoveId>{4});
+    CHECK(!desk.done());
+    desk.add({5, 20, 1, 2, 2, false});
+    desk.ended(4, MoveDesk::End::kUndone);
+    CHECK(desk.begin().empty());
+    CHECK(desk.done());
+    CHECK(desk.why() == "move 4 was undone; plan again");
+    MoveDesk again({1, 1, 0.02, 0.005, 2});
+    again.by_hand(true);
+    again.add({1, 10, 1, 2, 5, true});
+    again.add({2, 11, 1, 2, 0, false});
+    CHECK(again.begin() == std::vector<MoveId>{1});  // it had begun: a fence may stand
+}
+
+TEST_CASE("the desk never breaks its bounds, and ends") {
+    CHECK(rc::check("desk", [] {
+        DeskTerms terms;
+        terms.at_once = *rc::gen::inRange<std::size_t>(1, 5);
+        terms.at_once_box = *rc::gen::inRange<std::size_t>(1, 3);
+        MoveDesk desk(terms);
+        const int count = *rc::gen::inRange(1, 30);
+        std::map<MoveId, WantedMove> all, on;
+        for (int i = 1; i <= count; ++i) {
+            WantedMove wanted{static_cast<MoveId>(i),
+                              *rc::gen::inRange<ShardId>(1, 9),
+                              *rc::gen::inRange<BoxId>(1, 6),
+                              *rc::gen::inRange<BoxId>(1, 6),
+                              *rc::gen::inRange<std::size_t>(0, 3),
+                              false};
+            all[wanted.id] = wanted;
+            desk.add(wanted);
+        }
+        std::size_t wave = 0, ended = 0;
+        while (!desk.done()) {
+            for (const auto id : desk.begin()) {
+                RC_ASSERT(all.at(id).wave >= wave);
+                wave = all.at(id).wave;
+                on[id] = all.at(id);
+            }
+            RC_ASSERT(!on.empty());
+            RC_ASSERT(on.size() <= terms.at_once);
+            std::map<BoxId, std::size_t> from, to;
+            std::set<ShardId> shards;
+            for (const auto& [id, each] : on) {
+                RC_ASSERT(++from[each.from] <= terms.at_once_box);
+                RC_ASSERT(++to[each.to] <= terms.at_once_box);
+                RC_ASSERT(shards.insert(each.shard).second);
+            }
+            const auto which = on.begin()->first;
+            on.erase(which);
+            desk.ended(which, MoveDesk::End::kDone);
+            ++ended;
+        }
+        RC_ASSERT(ended == all.size());
+    }));
+}
+
+}  // namespace
--- a/tests/stand_ins/boxes.hpp
+++ b/tests/stand_ins/boxes.hpp
@@ -10,12 +10,15 @@
 #include <atomic>
 #include <limits>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "placement/box_guard.hpp"
 #include "placement/gatherer.hpp"
 #include "placement/map_text.hpp"
 #include "placement/shard_map.hpp"
@@ -59,21 +62,28 @@
     void know(const placement::ShardMap& map, std::size_t box) {
         const std::lock_guard lock(mutex_);
         auto& mine = boxes_[box - 1].shards;
-        std::map<placement::ShardId, Held> next;
+        std::set<placement::ShardId> here;
         for (const auto& shard : map.shards()) {
             for (const auto& each : shard.replicas) {
-                if (each.box == box) next[shard.id] = {shard, each.role == placement::Role::kOwner, true};
+                if (each.box != box) continue;
+                here.insert(shard.id);
+                const bool owner = each.role == placement::Role::kOwner;
+                auto& held = mine[shard.id];
+                if (held.guard.epoch() != shard.epoch || held.guard.owns() != owner)
+                    held = {shard.first, shard.last, placement::BoxGuard(owner, shard.epoch, !owner)};
             }
         }
         for (auto& [id, held] : mine) {  // what it held once it knows to be elsewhere by now
-            if (next.contains(id)) continue;
+            if (here.contains(id) || !(held.guard.owns() || held.guard.reads())) continue;
             const auto* now = map.find(id);
-            held.here = false;
-            held.shard.epoch = now == nullptr ? held.shard.epoch + (held.gone ? 0 : 1) : now->epoch;
-            held.gone = true;
-            next[id] = held;
+            held.guard = placement::BoxGuard(false, now == nullptr ? held.guard.epoch() + 1 : now->epoch);
         }
-        mine = std::move(next);
+    }
+    // What a box (from 1) is of a shard.
+    placement::BoxGuard guard(std::size_t box, placement::ShardId shard) const {
+        const std::lock_guard lock(mutex_);
+        const auto at = boxes_[box - 1].shards.find(shard);
+        return at == boxes_[box - 1].shards.end() ? placement::BoxGuard{} : at->second.guard;
     }
     // Parts wait at the boxes until they are let go; then they are looked at.
     void hold(bool held) { held_ = held; }
@@ -101,10 +111,8 @@
 
 private:
     struct Held {
-        placement::Shard shard;
-        bool owner = false;
-        bool here = true;
-        bool gone = false;
+        placement::Key first = 0, last = 0;
+        placement::BoxGuard guard;
     };
     struct Box {
         Listener listener;
@@ -153,10 +161,47 @@
         }
     }
 
-    static bool read(Link& link) {
+    // What a mover asks (docs/placement.md).
+    std::string moved(std::size_t box, std::istringstream& in) {
+        std::string number, verb, first, last;
+        placement::MoveId move = 0;
+        placement::ShardId shard = 0;
+        placement::Epoch epoch = 0;
+        std::uint64_t upto = 0, told = 0;
+        in >> number >> verb >> move >> shard >> epoch >> first >> last >> upto;
+        const std::lock_guard lock(mutex_);
+        auto& held = boxes_[box].shards[shard];
+        bool yes = true;
+        if (verb == "copy") {
+            yes = held.guard.copy(move);
+            held.first = placement::read_key(first).value_or(1);
+            held.last = placement::read_key(last).value_or(0);
+        } else if (verb == "fence") {
+            yes = held.guard.fence(move, epoch);
+            told = runs_.size();
+        } else if (verb == "reach") {
+            told = upto;
+        } else if (verb == "own") {
+            yes = held.guard.own(move, epoch);
+        } else if (verb == "read") {
+            yes = held.guard.read(move, epoch);
+        } else if (verb == "drop") {
+            yes = held.guard.drop(move, epoch);
+        } else if (verb == "unfence") {
+            yes = held.guard.unfence(move);
+        }
+        ++asked_;
+        return 'M' + number + (yes ? " yes " : " no ") + std::to_string(told);
+    }
+
+    bool read(Link& link) {
         const auto frame = link.peer.frame();
         if (frame == "nothing") return false;
         std::istringstream in(frame.substr(1));
+        if (frame[0] == 'M') {
+            link.peer.say_frame(moved(link.box, in));
+            return true;
+        }
         if (frame[0] == 'C') {
             std::string id;
             in >> id;
@@ -185,12 +230,14 @@
         const std::lock_guard lock(mutex_);
         for (const auto& part : std::exchange(link.parts, {})) {
             const auto at = boxes_[link.box].shards.find(part.shard);
-            const auto* held = at == boxes_[link.box].shards.end() ? nullptr : &at->second;
-            const bool runs = held != nullptr && held->here && held->shard.epoch == part.epoch &&
-                              (held->owner || part.query != "once") && held->shard.holds(part.first) &&
-                              held->shard.holds(part.last);
-            if (!runs) {
-                link.peer.reply(part.id, "moved", std::to_string(held == nullptr ? 0 : held->shard.epoch));
+            placement::BoxGuard::Verdict verdict;
+            if (at != boxes_[link.box].shards.end() && at->second.first <= part.first &&
+                part.last <= at->second.last) {
+                const auto& guard = at->second.guard;
+                verdict = part.query == "once" ? guard.may_run(part.epoch) : guard.may_read(part.epoch);
+            }
+            if (!verdict.run) {
+                link.peer.reply(part.id, "moved", std::to_string(verdict.known));
                 continue;
             }
             auto name = part.id.substr(0, part.id.find('.'));
@@ -203,6 +250,7 @@
     mutable std::mutex mutex_;
     std::vector<Run> runs_;
     std::size_t waiting_ = 0;
+    std::size_t asked_ = 0;  // by movers
     std::atomic<bool> held_ = false;
     std::atomic<bool> stop_ = false;
     std::thread thread_;
@@ -227,6 +275,17 @@
         const std::lock_guard lock(mutex_);
         whole_ = whole;
     }
+    // The map itself, which whoever moves shards may change by steps.
+    void keep(const placement::ShardMap& map, const placement::BoxNames& names) {
+        const std::lock_guard lock(mutex_);
+        names_ = names;
+        kept_ = std::make_unique<placement::ShardMap>(map);
+        whole_ = print_map(map, names_);
+    }
+    placement::ShardMap kept() const {
+        const std::lock_guard lock(mutex_);
+        return *kept_;
+    }
     void say(const std::string& line) {  // to all who watch
         const std::lock_guard lock(mutex_);
         say_.push_back(line);
@@ -242,7 +301,15 @@
             if (poll(&ready, 1, 5) == 1) {
                 auto peer = listener_.accept();
                 const auto head = peer.read_to("\r\n\r\n");
+                const bool posted = head.starts_with("POST ");
+                const auto body = posted ? peer.read_bytes(length_in(head)) : "";
                 const std::lock_guard lock(mutex_);
+                if (posted) {
+                    const bool good = !down_ && change(body);
+                    peer.say(std::string("HTTP/1.1 ") + (good ? "200 OK" : "409 Conflict") +
+                             "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+                    continue;
+                }
                 const bool shards = head.find("/discovery/shards") != std::string::npos;
                 const bool stream = head.find("stream=1") != std::string::npos;
                 const auto text = shards ? whole_ : list_object(1, true, members_);
@@ -270,8 +337,30 @@
         }
     }
 
+    static std::size_t length_in(const std::string& head) {
+        const auto at = head.find("Content-Length: ");
+        return at == std::string::npos ? 0 : std::strtoul(head.c_str() + at + 16, nullptr, 10);
+    }
+    bool change(const std::string& body) {
+        const auto news = placement::read_map_news(body, names_);
+        const auto* changes = std::get_if<placement::MapChanges>(&news);
+        if (changes == nullptr || !kept_ || changes->after != kept_->version()) return false;
+        auto map = *kept_;
+        for (const auto& step : changes->steps) {
+            auto next = map.after(step);
+            if (!std::holds_alternative<placement::ShardMap>(next)) return false;
+            map = std::get<placement::ShardMap>(next);
+        }
+        *kept_ = map;
+        whole_ = print_map(map, names_);
+        say_.push_back(body);
+        return true;
+    }
+
     Listener listener_;
     mutable std::mutex mutex_;
+    placement::BoxNames names_;
+    std::unique_ptr<placement::ShardMap> kept_;
     std::vector<Listed> members_;
     std::string whole_;
     std::vector<std::string> say_;
