--- a/src/store/crash_point.hpp
+++ b/src/store/crash_point.hpp
@@ -2,11 +2,11 @@
 // time that it is come by. Only in builds for tests; elsewhere it is nothing.
 #pragma once
 
+#include <string_view>
 #ifdef PINEDOOR_CRASH_POINTS
 #include <csignal>
 #include <cstdlib>
 #include <string>
-#include <string_view>
 #endif
 
 namespace pinedoor::store {
@@ -33,7 +33,7 @@
 #else
 class CrashPoints {
 public:
-    void pass(const char*) {}
+    void pass(std::string_view) {}
 };
 #endif
 
