Splits and merges are carried like moves: fenced, published, owned, undone before that

The owner fences the parents, the map's step is published, all that hold the data are asked to own or read the children, the parents are dropped. pinedoor shards split and merge note them; apply carries them out.

Result: killed at each of ten points with a part in flight, then merged back: every answer that of the whole data set, nothing run twice; undone behind the fence the shard runs where it was.

--- a/src/placement/mover.cpp
+++ b/src/placement/mover.cpp
@@ -14,14 +14,14 @@
 }
 
 std::string_view name_of(MoveKind kind) {
-    static constexpr std::array<std::string_view, 5> kNames{"owner", "pass", "reader", "copy", "remove"};
+    static constexpr std::array<std::string_view, 7> kNames{"owner",  "pass",  "reader", "copy",
+                                                            "remove", "split", "merge"};
     return kNames.at(static_cast<std::size_t>(kind));
 }
 
 std::optional<MoveKind> move_kind_named(std::string_view name) {
-    for (const auto kind :
-         {MoveKind::kOwner, MoveKind::kPass, MoveKind::kReader, MoveKind::kCopy, MoveKind::kRemove}) {
-        if (name_of(kind) == name) return kind;
+    for (int kind = 0; kind <= static_cast<int>(MoveKind::kMerge); ++kind) {
+        if (name_of(static_cast<MoveKind>(kind)) == name) return static_cast<MoveKind>(kind);
     }
     return std::nullopt;
 }
--- a/src/placement/mover.hpp
+++ b/src/placement/mover.hpp
@@ -56,11 +56,21 @@
     kPass,    // ownership, to a box that reads; the old owner reads from then on
     kReader,  // a reader's data
     kCopy,    // one more reader; `from` has it and keeps it
-    kRemove   // a reader goes; `to` is none
+    kRemove,  // a reader goes; `to` is none
+    kSplit,   // of a shard in place: fenced at its owner, until the owner runs the children; `to` is none
+    kMerge    // of two in place, likewise
 };
 std::string_view name_of(MoveKind kind);
 std::optional<MoveKind> move_kind_named(std::string_view name);
 
+struct Cut {            // of a split and a merge
+    Key at = 0;         // kSplit: the first key of the upper child
+    ShardId other = 0;  // kMerge: the upper one
+    ShardId lower = 0;  // kSplit: the children's ids; kMerge: the merged one's, and 0
+    ShardId upper = 0;
+    bool operator==(const Cut&) const = default;
+};
+
 struct Move {  // as it is kept
     MoveId id = 0;
     ShardId shard = 0;
@@ -68,6 +78,7 @@
     Epoch epoch = 0;  // the shard's, before
     MoveStep step = MoveStep::kPrepare;
     MoveKind kind = MoveKind::kOwner;
+    Cut cut = {};
     bool operator==(const Move&) const = default;
 };
 
--- a/src/store/move_journal.cpp
+++ b/src/store/move_journal.cpp
@@ -1,5 +1,7 @@
 #include "store/move_journal.hpp"
 
+#include <cstdlib>
+
 namespace pinedoor::store {
 namespace {
 
@@ -29,6 +31,10 @@
     made.wish = text_of(row.at(11));
     made.since = number_of(row.at(12));
     made.note = text_of(row.at(13));
+    made.move.cut = {std::strtoull(text_of(row.at(14)).c_str(), nullptr, 10),
+                     static_cast<placement::ShardId>(number_of(row.at(15))),
+                     static_cast<placement::ShardId>(number_of(row.at(16))),
+                     static_cast<placement::ShardId>(number_of(row.at(17)))};
     return made;
 }
 
@@ -37,12 +43,11 @@
 void MoveJournal::init() {
     Transaction transaction(db_);
     db_.run(
-        "CREATE TABLE IF NOT EXISTS shard_moves(id bigint PRIMARY KEY, shard bigint NOT NULL, from_box "
-        "bigint "
-        "NOT NULL, to_box bigint NOT NULL, epoch bigint NOT NULL, step text NOT NULL, kind text NOT NULL, "
-        "wave "
-        "bigint NOT NULL, from_name text NOT NULL, to_name text NOT NULL, map bigint NOT NULL, wish text NOT "
-        "NULL, since bigint NOT NULL, note text NOT NULL)");
+        "CREATE TABLE IF NOT EXISTS shard_moves(id bigint PRIMARY KEY, shard bigint NOT NULL, "
+        "from_box bigint NOT NULL, to_box bigint NOT NULL, epoch bigint NOT NULL, step text NOT NULL, "
+        "kind text NOT NULL, wave bigint NOT NULL, from_name text NOT NULL, to_name text NOT NULL, "
+        "map bigint NOT NULL, wish text NOT NULL, cut_at text NOT NULL, other bigint NOT NULL, "
+        "lower bigint NOT NULL, upper bigint NOT NULL, since bigint NOT NULL, note text NOT NULL)");
     db_.run(
         "CREATE TABLE IF NOT EXISTS shard_mover(one bigint PRIMARY KEY, who text NOT NULL, until bigint NOT "
         "NULL, paused bigint NOT NULL)");
@@ -81,12 +86,13 @@
         db_.run(
             "INSERT INTO shard_moves(id, shard, from_box, to_box, epoch, step, kind, wave, from_name, "
             "to_name, "
-            "map, wish, since, note) VALUES ($1, $2, $3, $4, $5, $6, $7, $8, $9, $10, $11, '', "
-            "pinedoor_now(), "
+            "map, cut_at, other, lower, upper, wish, since, note) "
+            "VALUES ($1, $2, $3, $4, $5, $6, $7, $8, $9, $10, $11, $12, $13, $14, $15, '', pinedoor_now(), "
             "'')",
             {number(each.move.id), number(each.move.shard), number(each.move.from), number(each.move.to),
              number(each.move.epoch), text(name_of(each.move.step)), text(name_of(each.move.kind)),
-             number(each.wave), each.from, each.to, number(each.map)});
+             number(each.wave), each.from, each.to, number(each.map), std::to_string(each.move.cut.at),
+             number(each.move.cut.other), number(each.move.cut.lower), number(each.move.cut.upper)});
     }
     transaction.commit();
     return moves;
@@ -108,8 +114,7 @@
     std::vector<JournalMove> all;
     const std::string columns =
         "SELECT id, shard, from_box, to_box, epoch, step, kind, wave, from_name, to_name, map, wish, since, "
-        "note "
-        "FROM shard_moves ";
+        "note, cut_at, other, lower, upper FROM shard_moves ";
     for (const auto& row :
          db_.run(columns + (open_only ? "WHERE " + std::string(kOpen) : "") + " ORDER BY id"))
         all.push_back(read(row));
--- a/src/tool/shard_carrier.cpp
+++ b/src/tool/shard_carrier.cpp
@@ -20,6 +20,8 @@
 constexpr int kPauseMs = 5;
 constexpr Time kRenewShare = 3;  // a lease is renewed after this share of it
 
+bool is_cut(MoveKind kind) { return kind == MoveKind::kSplit || kind == MoveKind::kMerge; }
+
 bool on(const std::vector<Replica>& replicas, BoxId box) {
     return std::any_of(replicas.begin(), replicas.end(), [box](const Replica& r) { return r.box == box; });
 }
@@ -64,7 +66,7 @@
     std::vector<store::JournalMove> moves;
     const auto add = [&](MoveKind kind, BoxId from, BoxId to) {
         store::JournalMove made;
-        made.move = {0, shard, from, to, epoch, MoveStep::kPrepare, kind};
+        made.move = {0, shard, from, to, epoch, MoveStep::kPrepare, kind, {}};
         moves.push_back(std::move(made));
     };
     std::vector<BoxId> gone, come;
@@ -159,7 +161,7 @@
          std::to_string(move.shard) + ' ' + carried.kept.from + " -> " + carried.kept.to + ", " +
          std::string(name_of(move.step)));
     carried.mover = std::make_unique<Mover>(move, terms_.move);
-    if (seen_.map.find(move.shard) == nullptr) {
+    if (seen_.map.find(move.shard) == nullptr && move.step == MoveStep::kPrepare) {
         journal_.note(id, "the shard is not in the map any more");
         carried.aborted = true;
     }
@@ -239,15 +241,23 @@
 // True: the box has agreed, and `number` is what it told.
 bool ShardCarrier::ask(const Carried& carried, const std::string& box, const char* verb,
                        std::uint64_t& number, std::uint64_t upto, Epoch epoch) {
+    const auto& move = carried.mover->move();
+    const auto* known = seen_.map.find(move.shard);
+    Shard shard;
+    if (known != nullptr) shard = *known;
+    shard.id = move.shard;
+    shard.epoch = epoch == 0 ? move.epoch : epoch;
+    return ask(carried, box, verb, shard, number, upto);
+}
+
+bool ShardCarrier::ask(const Carried& carried, const std::string& box, const char* verb, const Shard& shard,
+                       std::uint64_t& number, std::uint64_t upto) {
     const auto at = seen_.boxes.find(box);
     if (at == seen_.boxes.end()) return false;
-    const auto& move = carried.mover->move();
-    const auto* shard = seen_.map.find(move.shard);
     auto& link = links_.try_emplace(box + '@' + net::to_text(at->second), at->second).first->second;
     std::ostringstream words;
-    words << verb << ' ' << move.id << ' ' << move.shard << ' ' << (epoch == 0 ? move.epoch : epoch) << ' '
-          << print_key(shard == nullptr ? 0 : shard->first) << ' '
-          << print_key(shard == nullptr ? 0 : shard->last) << ' ' << upto;
+    words << verb << ' ' << carried.mover->move().id << ' ' << shard.id << ' ' << shard.epoch << ' '
+          << print_key(shard.first) << ' ' << print_key(shard.last) << ' ' << upto;
     const auto answer = link.ask(words.str(), terms_.ask_ms);
     crash_points_.pass(std::string("asked-") + verb);
     if (!answer || !answer->yes) return false;
@@ -255,6 +265,47 @@
     return true;
 }
 
+std::vector<const Shard*> ShardCarrier::parents(const Carried& carried) const {
+    const auto& move = carried.kept.move;
+    std::vector<const Shard*> found{seen_.map.find(move.shard)};
+    if (move.kind == MoveKind::kMerge) found.push_back(seen_.map.find(move.cut.other));
+    return found;
+}
+
+std::vector<const Shard*> ShardCarrier::children(const Carried& carried) const {
+    const auto& move = carried.kept.move;
+    std::vector<const Shard*> found{seen_.map.find(move.cut.lower)};
+    if (move.kind == MoveKind::kSplit) found.push_back(seen_.map.find(move.cut.upper));
+    return found;
+}
+
+bool ShardCarrier::ask_owner_of_parents(const Carried& carried, const char* verb, std::uint64_t& number) {
+    for (const auto* parent : parents(carried)) {
+        if (parent == nullptr || !ask(carried, carried.kept.from, verb, *parent, number)) return false;
+    }
+    return true;
+}
+
+// The parents are not in the map any more: all that held them hold the children.
+bool ShardCarrier::drop_parents(const Carried& carried) {
+    const auto& move = carried.kept.move;
+    const auto after = children(carried);
+    if (after.front() == nullptr) return false;
+    std::vector<ShardId> gone{move.shard};
+    if (move.kind == MoveKind::kMerge) gone.push_back(move.cut.other);
+    std::uint64_t number = 0;
+    bool all = true;
+    for (const auto& each : after.front()->replicas) {
+        for (const auto id : gone) {
+            Shard parent;
+            parent.id = id;
+            parent.epoch = after.front()->epoch;
+            all = ask(carried, names_.name(each.box), "drop", parent, number) && all;
+        }
+    }
+    return all;
+}
+
 void ShardCarrier::carry_out(Carried& carried, const Keep& keep) {
     const auto step = std::string(name_of(keep.move.step));
     crash_points_.pass("keep-" + step);
@@ -266,13 +317,12 @@
 
 void ShardCarrier::carry_out(Carried& carried, const AskCopy&) {
     std::uint64_t number = 0;
-    if (carried.kept.move.kind == MoveKind::kRemove || ask(carried, carried.kept.to, "copy", number))
-        happened(carried, Copied{});
+    if (carried.kept.to.empty() || ask(carried, carried.kept.to, "copy", number)) happened(carried, Copied{});
 }
 
 void ShardCarrier::carry_out(Carried& carried, const AskMissing&) {
     std::uint64_t number = 0;
-    if (carried.kept.move.kind == MoveKind::kRemove || ask(carried, carried.kept.to, "missing", number))
+    if (carried.kept.to.empty() || ask(carried, carried.kept.to, "missing", number))
         happened(carried, Missing{number});
 }
 
@@ -280,7 +330,9 @@
     std::uint64_t number = 0;
     const auto kind = carried.kept.move.kind;
     const bool owned = kind == MoveKind::kOwner || kind == MoveKind::kPass;
-    if (!owned || ask(carried, carried.kept.from, "fence", number)) happened(carried, Fenced{number});
+    const bool fenced = is_cut(kind) ? ask_owner_of_parents(carried, "fence", number)
+                                     : !owned || ask(carried, carried.kept.from, "fence", number);
+    if (fenced) happened(carried, Fenced{number});
 }
 
 void ShardCarrier::carry_out(Carried& carried, const AskReach& reach) {
@@ -296,6 +348,10 @@
     const auto& move = carried.kept.move;
     const auto* shard = seen_.map.find(move.shard);
     std::vector<Step> steps;
+    if (is_cut(move.kind) && children(carried).front() != nullptr) return steps;
+    if (move.kind == MoveKind::kSplit)
+        return {Split{move.shard, move.cut.at, move.cut.lower, move.cut.upper}};
+    if (move.kind == MoveKind::kMerge) return {Merge{move.shard, move.cut.other, move.cut.lower}};
     if (shard == nullptr) return steps;
     const bool adds =
         move.kind == MoveKind::kOwner || move.kind == MoveKind::kReader || move.kind == MoveKind::kCopy;
@@ -327,13 +383,19 @@
 // The epoch of the map, to all that hold the shard by it.
 void ShardCarrier::carry_out(Carried& carried, const AskOwn&) {
     if (!to_publish(carried).empty()) return;
-    const auto* shard = seen_.map.find(carried.kept.move.shard);
-    if (shard == nullptr) return;
+    const bool cut = is_cut(carried.kept.move.kind);
+    std::vector<const Shard*> owned{seen_.map.find(carried.kept.move.shard)};
+    if (cut) owned = children(carried);
     std::uint64_t number = 0;
     bool all = true;
-    for (const auto& each : shard->replicas) {
-        const char* verb = each.role == Role::kOwner ? "own" : "read";
-        all = ask(carried, names_.name(each.box), verb, number, 0, shard->epoch) && all;
+    for (const auto* shard : owned) {
+        if (shard == nullptr) return;
+        for (const auto& each : shard->replicas) {
+            const auto& box = names_.name(each.box);
+            // Whoever has the parents' data has the children's.
+            if (cut) all = ask(carried, box, "copy", *shard, number) && all;
+            all = ask(carried, box, each.role == Role::kOwner ? "own" : "read", *shard, number) && all;
+        }
     }
     if (all) happened(carried, Owns{});
 }
@@ -348,6 +410,10 @@
     std::uint64_t number = 0;
     const auto kind = carried.kept.move.kind;
     const bool from = drop.box == carried.kept.move.from;
+    if (is_cut(kind)) {
+        if (!from || drop_parents(carried)) happened(carried, Dropped{drop.box});
+        return;
+    }
     const bool keeps = from ? kind == MoveKind::kPass || kind == MoveKind::kCopy
                             : kind == MoveKind::kPass || kind == MoveKind::kRemove;
     // A box that keeps its data must still know that the move is over.
@@ -363,7 +429,9 @@
     std::uint64_t number = 0;
     const auto kind = carried.kept.move.kind;
     const bool owned = kind == MoveKind::kOwner || kind == MoveKind::kPass;
-    if (!owned || ask(carried, carried.kept.from, "unfence", number)) happened(carried, Unfenced{});
+    const bool unfenced = is_cut(kind) ? ask_owner_of_parents(carried, "unfence", number)
+                                       : !owned || ask(carried, carried.kept.from, "unfence", number);
+    if (unfenced) happened(carried, Unfenced{});
 }
 
 void ShardCarrier::carry_out(Carried& carried, const Wake& wake) {
--- a/src/tool/shard_carrier.hpp
+++ b/src/tool/shard_carrier.hpp
@@ -67,6 +67,13 @@
     void look();
     bool ask(const Carried& carried, const std::string& box, const char* verb, std::uint64_t& number,
              std::uint64_t upto = 0, placement::Epoch epoch = 0);
+    bool ask(const Carried& carried, const std::string& box, const char* verb, const placement::Shard& shard,
+             std::uint64_t& number, std::uint64_t upto = 0);
+    // Of a split or a merge: what was, and what is once it is published; null where it is not so.
+    std::vector<const placement::Shard*> parents(const Carried& carried) const;
+    std::vector<const placement::Shard*> children(const Carried& carried) const;
+    bool ask_owner_of_parents(const Carried& carried, const char* verb, std::uint64_t& number);
+    bool drop_parents(const Carried& carried);
     void see();
     std::vector<placement::Step> to_publish(const Carried& carried) const;
 
--- a/src/tool/shard_commands.cpp
+++ b/src/tool/shard_commands.cpp
@@ -84,6 +84,14 @@
         apply->add_option("--lease-ms", lease_ms_, "After so long another one may carry the moves")
             ->capture_default_str()
             ->check(CLI::Range(100, 3'600'000));
+        auto* split = command("split", "Note that a shard is to be split; `apply` carries it out",
+                              [this] { return this->cut(true); });
+        split->add_option("shard", shard_, "Its number")->required();
+        split->add_option("key", key_, "The first key of the upper part, hexadecimal")->required();
+        auto* merge = command("merge", "Note that two shards side by side on the same boxes are to be one",
+                              [this] { return this->cut(false); });
+        merge->add_option("lower", shard_, "The number of the one")->required();
+        merge->add_option("upper", other_, "The number of the one behind it")->required();
         command("pause", "Begin no move, and go on with none that has not fenced yet",
                 [this] { return this->pause(true); });
         command("resume", "Go on", [this] { return this->pause(false); });
@@ -300,6 +308,42 @@
         return carrier.run() ? kDone : kAmiss;
     }
 
+    // Whether the map allows it is tried on the map as it is.
+    int cut(bool split) {
+        BoxNames names;
+        const auto seen = see_fleet(endpoint(discovery_, "--discovery"), path_, names, 2'000);
+        const auto db = open_journal();
+        store::MoveJournal journal(*db);
+        ShardId next = 0;
+        for (const auto& shard : seen.map.shards()) next = std::max(next, shard.id);
+        for (const auto& each : journal.moves(false))
+            next = std::max({next, each.move.cut.lower, each.move.cut.upper});
+        store::JournalMove made;
+        made.move.shard = shard_;
+        made.move.kind = split ? MoveKind::kSplit : MoveKind::kMerge;
+        made.move.cut.other = split ? 0 : other_;
+        made.move.cut.lower = next + 1;
+        made.move.cut.upper = split ? next + 2 : 0;
+        const auto key = read_key(key_);
+        if (split && !key) throw Unusable("'" + key_ + "' is no key; write up to 16 hexadecimal digits");
+        made.move.cut.at = key.value_or(0);
+        const Step step =
+            split ? Step(Split{shard_, *key, next + 1, next + 2}) : Step(Merge{shard_, other_, next + 1});
+        const auto tried = seen.map.after(step);
+        if (const auto* refused = std::get_if<ShardMap::Refused>(&tried)) throw Unusable(refused->why);
+        const auto* shard = seen.map.find(shard_);
+        made.move.from = shard->owner();
+        made.move.epoch = shard->epoch;
+        made.from = names.name(shard->owner());
+        made.map = seen.map.version();
+        // Behind what waits: it may be about the same shard.
+        for (const auto& each : journal.moves(true)) made.wave = std::max(made.wave, each.wave + 1);
+        const auto added = journal.add({made});
+        std::printf("move %llu: %s\n", static_cast<unsigned long long>(added.front().move.id),
+                    print(step).c_str());
+        return kDone;
+    }
+
     int pause(bool paused) {
         const auto db = open_journal();
         store::MoveJournal(*db).pause(paused);
@@ -392,7 +436,8 @@
     bool json_ = false, exact_ = false, dry_run_ = false, open_ = false;
     int seconds_ = 30;
     std::int64_t lease_ms_ = 10'000;
-    std::uint64_t move_ = 0;
+    std::uint64_t move_ = 0, shard_ = 0, other_ = 0;
+    std::string key_;
     DeskTerms desk_;
 };
 
--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -192,6 +192,62 @@
     }
 }
 
+TEST_CASE("a split and a merge of the same range, the mover killed at each step, a part in flight") {
+    for (const char* point : {"kept-prepare", "asked-fence", "keep-switch", "kept-switch", "published",
+                              "asked-copy", "asked-own", "kept-drain", "kept-retire", "asked-drop"}) {
+        CAPTURE(std::string(point));
+        Yard yard;
+        const auto key = print_key(Gatherer::keys_of(2, kSplits).first + 12'345);
+        CHECK(yard.shards("split 1 0").code == 1);
+        CHECK(yard.shards("split 1 " + key).text.find("move 1: split shard 1 at") == 0);
+        yard.boxes.hold(true);
+        yard.client.say(post("once", "flight", asks({2}, "once")));
+        for (int tries = 0; tries < 800 && yard.boxes.waiting() < 1; ++tries) usleep(2'000);
+        CHECK(yard.shards("apply --lease-ms 100", point).code == -SIGKILL);
+        yard.boxes.hold(false);
+        usleep(100'000);
+        Said said;
+        for (int tries = 0; tries < 100; ++tries) {
+            said = yard.shards("apply --lease-ms 100");
+            if (said.code != 1) break;
+            usleep(20'000);
+        }
+        CHECK_MESSAGE(said.code == 0, said.text);
+        const auto answer = yard.client.answer();
+        CHECK((answer == Yard::whole({2}) || answer.starts_with("503")));
+        auto map = yard.discovery.kept();
+        CHECK(map.size() == 3);
+        CHECK(yard.program->counter_at("map_version", map.version()) == map.version());
+        CHECK(yard.ask("once", "t", {2}) == Yard::whole({2}));
+        CHECK(yard.ask("again", "u", {0, 2, 5}) == Yard::whole({0, 2, 5}));
+        const auto lower = map.shards()[0].id, upper = map.shards()[1].id;
+        CHECK(yard.shards("merge " + std::to_string(lower) + ' ' + std::to_string(upper)).code == 0);
+        CHECK(yard.shards("apply").code == 0);
+        map = yard.discovery.kept();
+        CHECK(map.size() == 2);
+        CHECK(yard.program->counter_at("map_version", map.version()) == map.version());
+        CHECK(yard.ask("once", "v", {2}) == Yard::whole({2}));
+        CHECK(yard.ask("again", "w", {0, 2, 5}) == Yard::whole({0, 2, 5}));
+        CHECK(!yard.boxes.guard(1, 1).owns());
+        CHECK(yard.boxes.run_twice("once") == 0);
+    }
+}
+
+TEST_CASE("a split is undone behind its fence: the shard runs where it was") {
+    Yard yard;
+    yard.shards("split 1 " + print_key(Gatherer::keys_of(2, kSplits).first + 12'345));
+    CHECK(yard.shards("apply --lease-ms 100", "asked-fence").code == -SIGKILL);
+    CHECK(yard.boxes.guard(1, 1).fenced());
+    yard.client.say(post("once", "t1", asks({2}, "once"), 300));
+    CHECK(yard.client.answer().starts_with("503"));
+    yard.shards("abort 1");
+    usleep(150'000);
+    CHECK(yard.shards("apply").code == 3);
+    CHECK(yard.discovery.kept() == yard.map);
+    CHECK(!yard.boxes.guard(1, 1).fenced());
+    CHECK(yard.ask("once", "t2", {2}) == Yard::whole({2}));
+}
+
 TEST_CASE("two movers: one carries, the other says who; a step is not kept by who lost the lease") {
     Yard yard;
     const auto file = yard.fleet();
