--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -1,12 +1,20 @@
 // The shard map against plain ways, as ratios within one run; prints the table of docs/placement.md.
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <limits>
 #include <map>
+#include <memory>
 #include <random>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "placement/exact.hpp"
+#include "placement/gatherer.hpp"
+#include "placement/heat.hpp"
+#include "placement/planner.hpp"
 #include "placement/shard_map.hpp"
 
 namespace {
@@ -26,9 +34,7 @@
     return seen[2];
 }
 
-}  // namespace
-
-int main() {
+void maps() {
     std::printf(
         "Looking a random key up, ns; the next version after one step, us and bytes of its own (median of "
         "5)\n");
@@ -80,3 +86,185 @@
         std::fflush(stdout);
     }
 }
+
+Fleet random_fleet(std::size_t boxes, std::size_t shards, std::size_t replicas, int zones, unsigned seed) {
+    std::mt19937_64 chance(seed);
+    const auto one = [&chance] { return std::uniform_real_distribution<double>(0, 1)(chance); };
+    Fleet fleet;
+    double size = 0, load = 0;
+    for (std::size_t s = 0; s < shards; ++s) {
+        Need need;
+        need.shard = s + 1;
+        need.reads = 1 / (0.05 + one());
+        need.writes = one() < 0.3 ? 2 * one() : 0;
+        need.size = 1 + std::floor(4 * one());
+        need.replicas = replicas;
+        size += need.size * static_cast<double>(replicas);
+        load += need.reads + need.writes;
+        fleet.shards.push_back(std::move(need));
+    }
+    for (std::size_t b = 0; b < boxes; ++b)
+        fleet.boxes.push_back({static_cast<BoxId>(b + 1), static_cast<int>(b) % zones,
+                               2 * load / static_cast<double>(boxes),
+                               2 * size / static_cast<double>(boxes) + 5, boxes >= 20 && b % 20 == 0});
+    std::vector<double> used(boxes);
+    for (auto& need : fleet.shards) {
+        for (std::size_t tries = 0; need.now.size() < replicas && tries < 1'000; ++tries) {
+            // Uneven to begin with: some boxes are chosen more often.
+            const auto b = static_cast<std::size_t>(std::pow(one(), 1.3) * static_cast<double>(boxes));
+            const bool there = std::any_of(need.now.begin(), need.now.end(),
+                                           [&](const Replica& r) { return r.box == b + 1; });
+            if (there || used[b] + need.size > fleet.boxes[b].space * fleet.terms.fill) continue;
+            used[b] += need.size;
+            need.now.push_back({static_cast<BoxId>(b + 1), need.now.empty() ? Role::kOwner : Role::kReader});
+        }
+    }
+    return fleet;
+}
+
+void plans() {
+    std::printf("\nplans: one box in twenty is to be emptied\n  %6s %9s %9s | %8s %8s %8s %8s %7s %7s\n",
+                "boxes", "replicas", "seconds", "fullest", "after", "mean", "copies", "waves", "unmet");
+    for (const auto& [boxes, shards] :
+         {std::pair<std::size_t, std::size_t>{20, 270}, {100, 1'340}, {500, 6'670}}) {
+        auto fleet = random_fleet(boxes, shards, 3, 5, 1);
+        fleet.terms.at_once = boxes;
+        const auto began = Clock::now();
+        const auto made = plan(fleet);
+        const double seconds = std::chrono::duration<double>(Clock::now() - began).count();
+        const auto fault = check_plan(fleet, made);
+        double mean = 0, live = 0;
+        const auto each = loads(fleet, made.target);
+        for (std::size_t b = 0; b < boxes; ++b) {
+            mean += each[b];
+            live += fleet.boxes[b].draining ? 0 : 1;
+        }
+        std::printf("  %6zu %9zu %9.2f | %8.3f %8.3f %8.3f %8zu %7zu %7zu%s\n", boxes, shards * 3, seconds,
+                    made.fullest_before, made.fullest_after, mean / live, made.copies, made.waves.size(),
+                    made.unmet.size(), fault.c_str());
+        std::fflush(stdout);
+    }
+    std::printf("\nagainst the best (GLPK, 20 s at most each)\n  %6s %9s %8s %8s %8s %9s %9s\n", "boxes",
+                "replicas", "ours", "best", "ratio", "ours, ms", "GLPK, s");
+    for (const auto& [boxes, shards] : {std::pair<std::size_t, std::size_t>{4, 8}, {5, 10}, {6, 12}}) {
+        for (const unsigned seed : {1U, 2U, 3U}) {
+            const auto fleet = random_fleet(boxes, shards, 2, 2, seed);
+            auto began = Clock::now();
+            const auto made = plan(fleet);
+            const double ours = std::chrono::duration<double>(Clock::now() - began).count();
+            began = Clock::now();
+            std::string why;
+            const auto best = exact_target(fleet, 20, why);
+            const double exact = std::chrono::duration<double>(Clock::now() - began).count();
+            if (!best) {
+                std::printf("  %6zu %9zu %8.4f  none: %s\n", boxes, shards * 2, made.fullest_after,
+                            why.c_str());
+                continue;
+            }
+            std::printf("  %6zu %9zu %8.4f %8.4f %8.3f %9.2f %9.2f%s\n", boxes, shards * 2,
+                        made.fullest_after, best->fullest, made.fullest_after / best->fullest, ours * 1e3,
+                        exact, best->proven ? "" : " not proven");
+            std::fflush(stdout);
+        }
+    }
+}
+
+void sketches() {
+    std::printf(
+        "\nheavy keys of 2,000,000 parts over 1,000,000 keys (Zipf, 1.1): the 100 heaviest\n"
+        "  %-28s %12s %10s %14s %8s\n",
+        "", "bytes", "ns a part", "mean error, %%", "found");
+    constexpr std::size_t kKeys = 1'000'000, kParts = 2'000'000;
+    std::vector<double> upto(kKeys);
+    double sum = 0;
+    for (std::size_t k = 0; k < kKeys; ++k) upto[k] = sum += 1 / std::pow(static_cast<double>(k + 1), 1.1);
+    std::mt19937_64 chance(5);
+    std::vector<Key> stream(kParts);
+    for (auto& key : stream) {
+        const double at = std::uniform_real_distribution<double>(0, sum)(chance);
+        key = static_cast<Key>(std::lower_bound(upto.begin(), upto.end(), at) - upto.begin()) *
+              0x9e3779b97f4a7c15U;
+    }
+    const auto took = [](Clock::time_point began) {
+        return std::chrono::duration<double>(Clock::now() - began).count() / kParts * 1e9;
+    };
+    auto began = Clock::now();
+    std::unordered_map<Key, std::uint64_t> exact;
+    for (const auto key : stream) ++exact[key];
+    const double exact_ns = took(began);
+    std::vector<std::pair<std::uint64_t, Key>> heaviest;
+    for (const auto& [key, count] : exact) heaviest.emplace_back(count, key);
+    std::sort(heaviest.rbegin(), heaviest.rend());
+    heaviest.resize(100);
+    std::printf("  %-28s %12zu %10.1f %14.2f %8d\n", "exact counts",
+                exact.size() * 32 + exact.bucket_count() * 8, exact_ns, 0.0, 100);
+    for (const std::size_t counters : {256U, 1'024U, 4'096U}) {
+        HeavyKeys sketch(counters);
+        began = Clock::now();
+        for (const auto key : stream) sketch.add(key);
+        const double ns = took(began);
+        std::unordered_map<Key, std::uint64_t> told;
+        for (const auto& each : sketch.heaviest(100)) told[each.key] = each.count;
+        double error = 0;
+        int found = 0;
+        for (const auto& [count, key] : heaviest) {
+            if (!told.contains(key)) continue;
+            ++found;
+            error += static_cast<double>(told[key] - count) / static_cast<double>(count) * 100;
+        }
+        std::printf("  Space-Saving, %-14zu %12zu %10.1f %14.2f %8d\n", counters, sketch.bytes(), ns,
+                    found > 0 ? error / found : 0, found);
+    }
+    for (const std::size_t width : {1'024U, 16'384U}) {
+        CountMin sketch(width, 4);
+        began = Clock::now();
+        for (const auto key : stream) sketch.add(key);
+        const double ns = took(began);
+        double error = 0;
+        for (const auto& [count, key] : heaviest)
+            error += static_cast<double>(sketch.at_most(key) - count) / static_cast<double>(count) * 100;
+        std::printf("  Count-Min, 4 x %-13zu %12zu %10.1f %14.2f %8s\n", width, sketch.bytes(), ns,
+                    error / 100, "-");
+    }
+}
+
+void epoch_check() {
+    const auto map = std::make_shared<const ShardMap>(ShardMap::even(10'000, {1, 2, 3, 4, 5}, 3));
+    GatherTerms terms;
+    terms.op_types = {{MergeRule::kSum, true, 0.5, 1, 1'000}};
+    terms.splits = 5'000;
+    Gatherer gatherer(terms);
+    gatherer.map_is(0, map);
+    std::vector<Route> routes;
+    for (Number n = 0; n < 500; ++n) {
+        for (auto& action : gatherer.ask(0, n, {0, 1'000, {{static_cast<int>(n) * 7, 1, 0, 0}}})) {
+            if (const auto* leg = std::get_if<gathering::AskLeg>(&action)) {
+                for (const auto& piece : leg->pieces) routes.push_back(piece.route);
+            }
+        }
+    }
+    constexpr int kTimes = 500'000;
+    std::uint64_t sum = 0;
+    const double sending = median_ns(kTimes, [&] {
+        for (int i = 0; i < kTimes; ++i)
+            sum += gatherer.sending(routes[static_cast<std::size_t>(i) % routes.size()])->epoch;
+    });
+    const double boxes = median_ns(kTimes, [&] {
+        for (int i = 0; i < kTimes; ++i) {
+            const auto* piece = gatherer.piece(routes[static_cast<std::size_t>(i) % routes.size()]);
+            sum += gatherer.boxes_now(*piece).size();
+        }
+    });
+    std::printf("\nof a piece, %zu open, 10,000 shards: its epoch at sending %.0f ns, its boxes %.0f ns%s\n",
+                routes.size(), sending, boxes, sum == 0 ? "!" : "");
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+    const std::string only = count > 1 ? words[1] : "";
+    if (only.empty() || only == "maps") maps();
+    if (only.empty() || only == "plans") plans();
+    if (only.empty() || only == "heat") sketches();
+    if (only.empty() || only == "epoch") epoch_check();
+}
--- a/src/tool/shard_carrier.cpp
+++ b/src/tool/shard_carrier.cpp
@@ -133,10 +133,9 @@
         look();
         for (const auto id : desk_.begin()) begin(id);
         for (auto& [id, carried] : carried_) {
-            if (carried.mover && now() >= carried.wake) {
-                carried.wake = INT64_MAX;
-                happened(carried, Tick{});
-            }
+            if (!carried.mover || carried.wakes.empty() || *carried.wakes.begin() > now()) continue;
+            carried.wakes.erase(carried.wakes.begin(), carried.wakes.upper_bound(now()));
+            happened(carried, Tick{});
         }
         for (const auto id : std::exchange(over_, {})) carried_.erase(id);
         const bool any = std::any_of(carried_.begin(), carried_.end(),
@@ -434,9 +433,7 @@
     if (unfenced) happened(carried, Unfenced{});
 }
 
-void ShardCarrier::carry_out(Carried& carried, const Wake& wake) {
-    carried.wake = std::min(carried.wake, wake.at);
-}
+void ShardCarrier::carry_out(Carried& carried, const Wake& wake) { carried.wakes.insert(wake.at); }
 
 void ShardCarrier::carry_out(Carried& carried, const Ended& ended) {
     const auto id = carried.kept.move.id;
@@ -445,7 +442,7 @@
     desk_.ended(id, ended.done        ? MoveDesk::End::kDone
                     : carried.aborted ? MoveDesk::End::kAborted
                                       : MoveDesk::End::kUndone);
-    carried.wake = INT64_MAX;
+    carried.wakes.clear();
     over_.push_back(id);
 }
 
--- a/src/tool/shard_carrier.hpp
+++ b/src/tool/shard_carrier.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,7 +55,7 @@
     struct Carried {
         store::JournalMove kept;
         std::unique_ptr<placement::Mover> mover;
-        placement::Time wake = 0;
+        std::set<placement::Time> wakes;
         bool aborted = false;
     };
     using Actions = std::vector<placement::moving::Action>;
--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -151,6 +151,7 @@
     const auto dry = yard.shards("apply --dry-run " + file);
     CHECK(dry.text.find("owner of shard 2  s-1 -> ") != std::string::npos);
     CHECK(yard.discovery.kept().version() == 1);
+    yard.boxes.copy_takes(250);  // asked again and again until it is there
     const auto applied = yard.shards("apply " + file);
     CHECK_MESSAGE(applied.code == 0, applied.text);
     yard.check_emptied();
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
@@ -43,6 +44,8 @@
     const timeval limit{kPatienceSeconds, 0};
     setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     setsockopt(fd.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+    const int yes = 1;
+    setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
 }
 
 // One end of a connection.
--- a/tests/stand_ins/boxes.hpp
+++ b/tests/stand_ins/boxes.hpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 
 #include <atomic>
+#include <chrono>
 #include <limits>
 #include <map>
 #include <memory>
@@ -85,6 +86,8 @@
         const auto at = boxes_[box - 1].shards.find(shard);
         return at == boxes_[box - 1].shards.end() ? placement::BoxGuard{} : at->second.guard;
     }
+    // A box says no to `copy` until it has taken so long.
+    void copy_takes(int ms) { copy_ms_ = ms; }
     // Parts wait at the boxes until they are let go; then they are looked at.
     void hold(bool held) { held_ = held; }
     std::size_t waiting() const {
@@ -173,7 +176,10 @@
         auto& held = boxes_[box].shards[shard];
         bool yes = true;
         if (verb == "copy") {
-            yes = held.guard.copy(move);
+            const auto begun =
+                copies_.try_emplace({box, move}, std::chrono::steady_clock::now()).first->second;
+            yes = std::chrono::steady_clock::now() - begun >= std::chrono::milliseconds(copy_ms_) &&
+                  held.guard.copy(move);
             held.first = placement::read_key(first).value_or(1);
             held.last = placement::read_key(last).value_or(0);
         } else if (verb == "fence") {
@@ -251,6 +257,8 @@
     std::vector<Run> runs_;
     std::size_t waiting_ = 0;
     std::size_t asked_ = 0;  // by movers
+    std::map<std::pair<std::size_t, placement::MoveId>, std::chrono::steady_clock::time_point> copies_;
+    std::atomic<int> copy_ms_ = 0;
     std::atomic<bool> held_ = false;
     std::atomic<bool> stop_ = false;
     std::thread thread_;
