--- a/src/placement/gatherer.cpp
+++ b/src/placement/gatherer.cpp
@@ -182,8 +182,11 @@
     held.state = Held::State::kWaits;
     held.known = known;
     held.refused_at = now;
-    if (!map_knows(held)) actions_.emplace_back(WantMap{held.piece.shard, known});
-    ask_again(now, number, multiget);
+    // Others of it are often refused in the same moment: what is known then is asked for as one leg.
+    if (map_knows(held))
+        actions_.emplace_back(Wake{now});
+    else
+        actions_.emplace_back(WantMap{held.piece.shard, known});
     settle(now, number);
     return std::exchange(actions_, {});
 }
--- a/tests/placement/gather_test.cpp
+++ b/tests/placement/gather_test.cpp
@@ -217,10 +217,12 @@
     CHECK(gatherer.sending(leg.pieces[0].route)->epoch == 2);
     SUBCASE("refused by the box that was behind: after a pause") {
         trace(gatherer.refused(10, leg.pieces[0].route, 1));
+        CHECK(trace.wake == 10);
+        trace(gatherer.tick(10));
         CHECK(trace.legs.size() == 1);
+        CHECK(trace.wake == 210);
         trace(gatherer.leg_ended(12, 7, 0, answered(leg, {})));
         CHECK(trace.ends.empty());
-        CHECK(trace.wake == 1'800);
         trace(gatherer.tick(210));
         REQUIRE(trace.legs.size() == 2);
         CHECK(trace.legs[1].pieces[0].boxes == std::vector<BoxId>{1});
@@ -266,28 +268,45 @@
     for (std::size_t leg = 0; leg < 2; ++leg) {
         map = after(map, PassOwnership{1, leg == 0 ? BoxId{2} : BoxId{1}});
         gatherer.map_is(0, share(map));
-        trace(gatherer.refused(0, trace.legs[leg].pieces[0].route, leg + 2));
+        trace(gatherer.refused(0, trace.legs[leg].pieces[0].route, leg + 2))(gatherer.tick(0));
         REQUIRE(trace.legs.size() == leg + 2);
     }
     map = after(map, PassOwnership{1, 2});
     gatherer.map_is(0, share(map));
-    trace(gatherer.refused(0, trace.legs[2].pieces[0].route, 4));
+    trace(gatherer.refused(0, trace.legs[2].pieces[0].route, 4))(gatherer.tick(0));
     REQUIRE(trace.ends.size() == 1);  // a third leg was the last, and what cannot come is not waited for
     CHECK(trace.left.size() == 3);
     // The budget is used up by now, for others too, until it has passed.
     trace(gatherer.ask(0, 2, {0, 2'000, {{0, 1, 0, 0}}}));
     map = after(map, PassOwnership{1, 1});
     gatherer.map_is(0, share(map));
-    trace(gatherer.refused(0, trace.legs.back().pieces[0].route, 5));
+    trace(gatherer.refused(0, trace.legs.back().pieces[0].route, 5))(gatherer.tick(0));
     CHECK(trace.ends.size() == 2);
     CHECK(gatherer.counted().given_up == 2);
     trace(gatherer.ask(20'000, 3, {0, 22'000, {{0, 1, 0, 0}}}));
     map = after(map, PassOwnership{1, 2});
     gatherer.map_is(20'000, share(map));
-    trace(gatherer.refused(20'000, trace.legs.back().pieces[0].route, 6));
+    trace(gatherer.refused(20'000, trace.legs.back().pieces[0].route, 6))(gatherer.tick(20'000));
     CHECK(trace.ends.size() == 2);
 }
 
+TEST_CASE("pieces refused in one moment are asked for as one leg") {
+    Gatherer gatherer(terms());
+    auto map = ShardMap::even(4, {1, 2}, 2);
+    gatherer.map_is(0, share(map));
+    Trace trace;
+    trace(gatherer.ask(0, 1, kTwoSplits));
+    map = after(after(map, PassOwnership{1, 2}), PassOwnership{2, 1});
+    gatherer.map_is(5, share(map));
+    const auto leg = trace.legs[0];
+    trace(gatherer.refused(9, leg.pieces[0].route, 2))(gatherer.refused(9, leg.pieces[1].route, 2));
+    CHECK(trace.legs.size() == 1);
+    CHECK(trace.wake == 9);
+    trace(gatherer.tick(9));
+    REQUIRE(trace.legs.size() == 2);
+    CHECK(trace.legs[1].pieces.size() == 2);
+}
+
 TEST_CASE("without a map nothing is sent and all is pushed back") {
     Gatherer gatherer(terms());
     Trace trace;
@@ -300,7 +319,7 @@
 // whole data set. Values are how many of 64 points of each count split lie within a piece's keys.
 std::string points_in(Key first, Key last) {
     const Key step = kLast / 256;
-    const Key from = (first + step - 1) / step, upto = last / step;
+    const Key from = first / step + (first % step == 0 ? 0 : 1), upto = last / step;
     return std::to_string(upto >= from ? upto - from + 1 : 0);
 }
 
