--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -8,7 +8,9 @@
 
 #include "placement/move_desk.hpp"
 #include "stand_ins/boxes.hpp"
+#include "stand_ins/postgres.hpp"
 #include "store/move_journal.hpp"
+#include "store/pq.hpp"
 #include "store/sqlite_db.hpp"
 
 namespace {
@@ -275,6 +277,55 @@
     yard.check_emptied();
 }
 
+TEST_CASE("the journal is the same over PostgreSQL, and a connection that breaks keeps no half step") {
+    const auto file = scratch() + "/pinedoor-journal-" + std::to_string(getpid()) + ".db";
+    {
+        PostgresStandIn postgres(file);
+        store::PgDb db(postgres.conninfo());
+        store::migrate(db);
+        store::MoveJournal journal(db);
+        journal.init();
+        journal.init();  // again: nothing
+        CHECK(journal.take_lease("me", 600'000));
+        CHECK(journal.take_lease("me", 600'000));
+        CHECK(!journal.take_lease("other", 600'000));
+        CHECK(journal.holder() == "me");
+        store::JournalMove made;
+        made.move = {0, 5, 1, 2, 7, MoveStep::kPrepare, MoveKind::kSplit, {~Key{0}, 0, 8, 9}};
+        made.from = "s-1";
+        made.wave = 3;
+        made.map = 4;
+        const auto added = journal.add({made, made});
+        CHECK(added[0].move.id == 1);
+        CHECK(added[1].move.id == 2);
+        auto move = added[0].move;
+        move.step = MoveStep::kSwitch;
+        journal.keep(move, "me");
+        CHECK_THROWS_AS(journal.keep(move, "other"), store::LostLease);
+        CHECK(journal.wish(2, "abort"));
+        CHECK(!journal.wish(3, "abort"));
+        journal.pause(true);
+        CHECK(journal.paused());
+        const auto moves = journal.moves(true);
+        REQUIRE(moves.size() == 2);
+        CHECK(moves[0].move == move);
+        CHECK(moves[0].wave == 3);
+        CHECK(moves[0].map == 4);
+        CHECK(moves[1].wish == "abort");
+        postgres.die_before_commit = 1;
+        move.step = MoveStep::kDrain;
+        CHECK_THROWS_AS(journal.keep(move, "me"), store::SqlError);
+        store::PgDb again(postgres.conninfo());
+        store::MoveJournal after(again);
+        CHECK(after.moves(true)[0].move.step == MoveStep::kSwitch);
+        move.step = MoveStep::kDone;
+        after.keep(move, "me");
+        CHECK(after.moves(true).size() == 1);
+        CHECK(after.moves(false).size() == 2);
+    }
+    for (const char* end : {"", "-wal", "-shm"}) std::filesystem::remove(file + end);
+}
+
 TEST_CASE("a move is undone from each step before the switch, and not after it") {
     for (const char* point : {"kept-prepare", "kept-catch-up", "kept-fence", "asked-fence", "asked-reach"}) {
         CAPTURE(std::string(point));
