A box that has just come to a shard gets a rising share of its reads, from each node alone

Change: the gatherer notes who holds a shard's keys and did not by the map before; reads go there by a share from cold_from to all within warm_after, chosen by the piece's number, so each node keeps it of its own reads.

Result: of 4,000 reads of 20 nodes 0.2 may go there at first, 0.6 half way, all at the end, within a tenth; a split or merge leaves it as warm as it was.

--- a/src/placement/gatherer.cpp
+++ b/src/placement/gatherer.cpp
@@ -38,17 +38,50 @@
     return shard.id == piece.shard && shard.holds(piece.last) ? shard.epoch : piece.epoch;
 }
 
-std::vector<BoxId> Gatherer::boxes_now(const Piece& piece) const {
+// Who holds a shard's keys now and did not by the older map begins cold; a split or a merge at the same boxes
+// leaves them as warm as they were.
+void Gatherer::note_cold(Time now, const ShardMap& older) {
+    if (terms_.cold_from >= 1 || terms_.warm_after <= 0) return;
+    decltype(cold_since_) next;
+    for (const auto& shard : map_->shards()) {
+        const auto& was = older.at(shard.first);
+        for (const auto& each : shard.replicas) {
+            const bool held = std::any_of(was.replicas.begin(), was.replicas.end(),
+                                          [&](const Replica& r) { return r.box == each.box; });
+            const auto known = cold_since_.find({was.id, each.box});
+            const Time since = !held                        ? now
+                               : known != cold_since_.end() ? known->second
+                                                            : now - terms_.warm_after;
+            if (now - since < terms_.warm_after) next[{shard.id, each.box}] = since;
+        }
+    }
+    cold_since_ = std::move(next);
+}
+
+bool Gatherer::takes(Time now, const Piece& piece, BoxId box) const {
+    const auto cold = cold_since_.find({piece.shard, box});
+    if (cold == cold_since_.end()) return true;
+    const double warm = static_cast<double>(now - cold->second) / static_cast<double>(terms_.warm_after);
+    const double share = terms_.cold_from + (1 - terms_.cold_from) * std::min(1.0, warm);
+    // Knuth's multiplicative hash spreads the numbers, which rise one by one, evenly.
+    const auto spread = static_cast<std::uint32_t>(piece.route) * 2'654'435'761U;
+    return static_cast<double>(spread) / 4'294'967'296.0 < share;
+}
+
+std::vector<BoxId> Gatherer::boxes_now(Time now, const Piece& piece) const {
     const auto route = routes_.find(piece.route);
     if (!map_ || route == routes_.end()) return piece.boxes;
     const auto& shard = map_->at(piece.first);
     if (shard.id != piece.shard || !shard.holds(piece.last)) return piece.boxes;
     const bool readers = type_of(multigets_.at(route->second.number)).readers;
-    std::vector<BoxId> boxes;
+    std::vector<BoxId> boxes, warm;
     for (const auto& each : shard.replicas) {
-        if (readers || each.role == Role::kOwner) boxes.push_back(each.box);
+        if (!readers && each.role != Role::kOwner) continue;
+        boxes.push_back(each.box);
+        if (takes(now, piece, each.box)) warm.push_back(each.box);
     }
-    return boxes;
+    // What only a cold box may run is run there: the decision module minds how much it bears.
+    return warm.empty() ? boxes : warm;
 }
 
 // One piece for each shard that holds some of the keys; the weight is divided by their width.
@@ -192,7 +225,8 @@
 }
 
 Gatherer::Actions Gatherer::map_is(Time now, std::shared_ptr<const ShardMap> map) {
-    map_ = std::move(map);
+    const auto older = std::exchange(map_, std::move(map));
+    if (older && map_ && older != map_) note_cold(now, *older);
     std::vector<Number> waiting;
     for (const auto& [number, multiget] : multigets_) {
         const auto waits = [](const Held& held) { return held.state == Held::State::kWaits; };
--- a/src/placement/gatherer.hpp
+++ b/src/placement/gatherer.hpp
@@ -11,6 +11,10 @@
 // A split counts as in only if all of its pieces are, and their values merge. Whole and least shares count by
 // the weight that the client gave. Pieces asked for again count as further sends: they have a share of that
 // budget to themselves (GatherTerms::further), and the decision module has the rest.
+//
+// A box that has just come to hold a shard is cold for it, however old its process. Reads go there by a share
+// that rises from cold_from to all within warm_after; a piece's number says whether it is among them. Each
+// node takes that share of its own reads, so together they keep it, though they share nothing.
 #pragma once
 
 #include <cstdint>
@@ -45,6 +49,8 @@
     Time answer_grace = 200;  // before a multiget's end, to send what is known
     int most_legs = 4;
     std::size_t most_pieces = 4096;  // of one multiget at once
+    double cold_from = 1;            // of a warm box's reads; 1: no box is cold
+    Time warm_after = 0;
 };
 
 using Number = std::uint64_t;  // of a multiget
@@ -130,7 +136,8 @@
     // A piece may be sent later than it was cut: under the shard's epoch by now, if it has the same keys
     // still.
     const Piece* sending(Route route);
-    std::vector<BoxId> boxes_now(const Piece& piece) const;
+    // Who may be asked now: by the present map, and without those that are too cold for this piece.
+    std::vector<BoxId> boxes_now(Time now, const Piece& piece) const;
 
     static std::pair<Key, Key> keys_of(int split, std::uint64_t splits);
 
@@ -140,6 +147,7 @@
     const Counted& counted() const { return counted_; }
     std::size_t open() const { return multigets_.size(); }
     std::size_t routes() const { return routes_.size(); }
+    std::size_t cold() const { return cold_since_.size(); }  // shards at boxes
 
 private:
     struct Held {  // a piece and what became of it
@@ -173,6 +181,8 @@
     void ask_leg(Number number, Multiget& multiget, std::vector<Piece> pieces);
     void ask_again(Time now, Number number, Multiget& multiget);
     Epoch epoch_now(const Piece& piece) const;
+    void note_cold(Time now, const ShardMap& older);
+    bool takes(Time now, const Piece& piece, BoxId box) const;
     bool map_knows(const Held& held) const;
     bool may_ask_again(Time now, std::size_t pieces);
     Standing standing(const Multiget& multiget) const;
@@ -188,6 +198,7 @@
     std::map<Number, Multiget> multigets_;
     std::map<Route, Place> routes_;
     Route last_route_ = 0;
+    std::map<std::pair<ShardId, BoxId>, Time> cold_since_;  // until they are warm, or gone from the map
     struct Sent {
         Time at = 0;
         std::size_t taken = 0, again = 0;
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -149,6 +149,8 @@
     gather.ask_again = terms.ask_again;
     gather.answer_grace = settings.client_terms().answer_grace;
     gather.most_legs = terms.most_legs;
+    gather.cold_from = settings.cold_terms().from;
+    gather.warm_after = settings.cold_terms().warm_after;
     return std::make_unique<PlacementSide>(scheduler_, log_, terms, std::move(gather), launch_.discovery(),
                                            launch_.seed());
 }
--- a/src/service/placement_side.cpp
+++ b/src/service/placement_side.cpp
@@ -143,7 +143,7 @@
     std::vector<ServerId> servers;
     const auto* piece = gatherer_.piece(shard);
     if (piece == nullptr) return servers;
-    for (const auto box : gatherer_.boxes_now(*piece)) {
+    for (const auto box : gatherer_.boxes_now(scheduler_.now(), *piece)) {
         if (const auto server = exchange_->server_named(names_.name(box))) servers.push_back(*server);
     }
     return servers;
@@ -262,6 +262,7 @@
     append_line(out, "pieces_given_up", gathered.given_up);
     append_line(out, "values_not_merged", gathered.unmerged);
     append_line(out, "placement_proposals", proposals_);
+    append_line(out, "shards_cold_at_boxes", gatherer_.cold());
     for (const auto& [shard, load] : heat_.hottest(kHottest))
         append_line(out, "heat_shard_" + std::to_string(shard), static_cast<std::uint64_t>(load + 0.5));
     return out;
--- a/tests/placement/gather_test.cpp
+++ b/tests/placement/gather_test.cpp
@@ -210,9 +210,9 @@
     const auto leg = trace.legs[0];
     CHECK(leg.pieces[0].boxes == std::vector<BoxId>{2});
     const auto passed = after(map, PassOwnership{2, 1});
-    CHECK(gatherer.boxes_now(leg.pieces[0]) == std::vector<BoxId>{2});
+    CHECK(gatherer.boxes_now(1, leg.pieces[0]) == std::vector<BoxId>{2});
     trace(gatherer.map_is(1, share(passed)));
-    CHECK(gatherer.boxes_now(leg.pieces[0]) == std::vector<BoxId>{1});  // if it has not been sent yet
+    CHECK(gatherer.boxes_now(1, leg.pieces[0]) == std::vector<BoxId>{1});  // if it has not been sent yet
     REQUIRE(gatherer.sending(leg.pieces[0].route) != nullptr);
     CHECK(gatherer.sending(leg.pieces[0].route)->epoch == 2);
     SUBCASE("refused by the box that was behind: after a pause") {
@@ -307,6 +307,51 @@
     CHECK(trace.legs[1].pieces.size() == 2);
 }
 
+TEST_CASE("a box that has just come to a shard gets a share of the reads, whatever the number of nodes") {
+    auto made = terms();
+    made.cold_from = 0.2;
+    made.warm_after = 10'000;
+    const auto before = ShardMap::even(4, {1, 2}, 2);
+    const auto with = after(before, AddReader{1, 3});
+    // Of the reads of twenty nodes, how many may go to box 3, and what must not run twice to the owner alone.
+    const auto share = [&](Time now, const ShardMap& map) {
+        int all = 0, there = 0;
+        for (int node = 0; node < 20; ++node) {
+            Gatherer gatherer(made);
+            gatherer.map_is(0, std::make_shared<const ShardMap>(before));
+            gatherer.map_is(100, std::make_shared<const ShardMap>(with));
+            if (map.version() > with.version()) gatherer.map_is(now, std::make_shared<const ShardMap>(map));
+            for (Number n = 0; n < 200; ++n) {
+                Trace trace;
+                trace(gatherer.ask(now, n, {0, now + 2'000, {{0, 1, 0, 0}}}));
+                const auto boxes = gatherer.boxes_now(now, trace.legs[0].pieces[0]);
+                CHECK(std::count(boxes.begin(), boxes.end(), 1U) == 1);
+                there += std::count(boxes.begin(), boxes.end(), 3U) > 0 ? 1 : 0;
+                ++all;
+            }
+        }
+        return static_cast<double>(there) / all;
+    };
+    CHECK(share(100, with) == doctest::Approx(0.2).epsilon(0.1));
+    CHECK(share(5'100, with) == doctest::Approx(0.6).epsilon(0.1));
+    CHECK(share(10'100, with) == 1);
+    // A split does not make it warm, nor cold anew.
+    const auto split = after(with, Split{1, 1'000, 50, 51});
+    CHECK(share(5'100, split) == doctest::Approx(0.6).epsilon(0.1));
+    Gatherer owner(made);
+    owner.map_is(0, std::make_shared<const ShardMap>(before));
+    owner.map_is(100, std::make_shared<const ShardMap>(after(with, PassOwnership{1, 3})));
+    CHECK(owner.cold() == 1);
+    Trace trace;
+    trace(owner.ask(100, 1, {1, 2'000, {{0, 1, 0, 0}}}));
+    CHECK(owner.boxes_now(100, trace.legs[0].pieces[0]) == std::vector<BoxId>{3});
+    owner.map_is(200,
+                 std::make_shared<const ShardMap>(after(after(with, AddReader{2, 4}), RemoveReader{1, 3})));
+    CHECK(owner.cold() == 1);  // box 3 has gone, box 4 has come
+    made.cold_from = 1;
+    CHECK(share(100, with) == 1);
+}
+
 TEST_CASE("without a map nothing is sent and all is pushed back") {
     Gatherer gatherer(terms());
     Trace trace;
