Versions of the map live by who goes by them; the plain table of those in use goes

Cause: MapsInUse was never used by the front node: a version is shared, and stays as long as a multiget holds it.

Change: removed, its test is of what is relied on.

--- a/src/placement/shard_map.cpp
+++ b/src/placement/shard_map.cpp
@@ -291,35 +291,4 @@
     return sum;
 }
 
-bool MapsInUse::take(ShardMap newer) {
-    drop_unused();
-    if (maps_.size() >= most_ && maps_.back().users > 0) return false;
-    if (maps_.back().users == 0) maps_.pop_back();
-    maps_.push_back({std::make_shared<const ShardMap>(std::move(newer)), 0});
-    return true;
-}
-
-std::shared_ptr<const ShardMap> MapsInUse::begin() {
-    ++maps_.back().users;
-    return maps_.back().map;
-}
-
-void MapsInUse::end(Version version) {
-    for (auto& each : maps_) {
-        if (each.map->version() != version || each.users == 0) continue;
-        --each.users;
-        break;
-    }
-    drop_unused();
-}
-
-void MapsInUse::drop_unused() {
-    for (std::size_t i = 0; i + 1 < maps_.size();) {
-        if (maps_[i].users == 0)
-            maps_.erase(maps_.begin() + static_cast<std::ptrdiff_t>(i));
-        else
-            ++i;
-    }
-}
-
 }  // namespace pinedoor::placement
--- a/src/placement/shard_map.hpp
+++ b/src/placement/shard_map.hpp
@@ -109,31 +109,4 @@
     std::vector<std::shared_ptr<const Chunk>> chunks_;
 };
 
-// The present map and those that open multigets still go by: a multiget is read under one version from its
-// begin to its end. Bounded; where too many are held, the oldest in use is named so that its multigets can be
-// ended.
-class MapsInUse {
-public:
-    MapsInUse(ShardMap first, std::size_t most) : most_(most) {
-        maps_.push_back({std::make_shared<const ShardMap>(std::move(first)), 0});
-    }
-
-    std::shared_ptr<const ShardMap> present() const { return maps_.back().map; }
-    // False: that many are in use already; the new one is not taken, and nothing has changed.
-    bool take(ShardMap newer);
-    std::shared_ptr<const ShardMap> begin();  // a multiget begins, under the present one
-    void end(Version version);                // one that began under it has ended
-    std::size_t held() const { return maps_.size(); }
-    Version oldest() const { return maps_.front().map->version(); }
-
-private:
-    struct Held {
-        std::shared_ptr<const ShardMap> map;
-        std::size_t users = 0;
-    };
-    void drop_unused();
-    const std::size_t most_;
-    std::vector<Held> maps_;  // oldest first; the last is the present one
-};
-
 }  // namespace pinedoor::placement
--- a/tests/placement/map_test.cpp
+++ b/tests/placement/map_test.cpp
@@ -150,30 +150,15 @@
     }));
 }
 
-TEST_CASE("versions share what did not change; those that multigets go by are held, no more and no longer") {
-    auto map = ShardMap::even(100'000, {1, 2, 3}, 3);
-    const auto next = good(map.after(PassOwnership{50'000, map.find(50'000)->replicas.back().box}));
+TEST_CASE("versions share what did not change, and are there as long as somebody goes by them") {
+    auto map = std::make_shared<const ShardMap>(ShardMap::even(100'000, {1, 2, 3}, 3));
+    const auto before = map;
+    const auto next = good(map->after(PassOwnership{50'000, map->find(50'000)->replicas.back().box}));
     CHECK(next.own_bytes() < next.bytes() / 200);
-    MapsInUse maps(map, 3);
-    const auto first = maps.begin();
-    CHECK(maps.take(next));
-    CHECK(maps.begin()->version() == 2);
-    CHECK(first->version() == 1);
-    CHECK(maps.held() == 2);
-    const auto third = good(next.after(AddReader{1, 9}));
-    CHECK(maps.take(third));
-    maps.begin();
-    CHECK(maps.held() == 3);
-    CHECK(!maps.take(good(third.after(RemoveReader{1, 9}))));  // three are in use
-    CHECK(maps.present()->version() == 3);
-    CHECK(maps.oldest() == 1);
-    maps.end(1);
-    CHECK(maps.oldest() == 2);
-    CHECK(maps.take(good(third.after(RemoveReader{1, 9}))));
-    maps.end(2);
-    maps.end(3);
-    CHECK(maps.held() == 1);
-    CHECK(maps.present()->version() == 4);
+    map = std::make_shared<const ShardMap>(next);
+    CHECK(before->version() == 1);
+    CHECK(before->find(50'000)->epoch == 1);
+    CHECK(map->find(50'000)->epoch == 2);
 }
 
 // --- The mover's traces ---
