--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -253,6 +253,28 @@
     CHECK(yard.ask("once", "t2", {2}) == Yard::whole({2}));
 }
 
+TEST_CASE("a new box dies right after a step is in the map: the move waits for it, nothing runs twice") {
+    for (const int published : {1, 2, 3}) {
+        for (const std::size_t box : {2U, 3U}) {
+            CAPTURE(published);
+            CAPTURE(box);
+            Yard yard;
+            const auto point = "published:" + std::to_string(published);
+            CHECK(yard.shards("apply --lease-ms 100 " + yard.fleet(), point).code == -SIGKILL);
+            yard.boxes.dead(box, true);
+            usleep(150'000);
+            std::thread revives([&] {
+                usleep(400'000);
+                yard.boxes.dead(box, false);
+            });
+            const auto said = yard.shards("apply");
+            revives.join();
+            CHECK_MESSAGE(said.code == 0, said.text);
+            yard.check_emptied();
+        }
+    }
+}
+
 TEST_CASE("two movers: one carries, the other says who; a step is not kept by who lost the lease") {
     Yard yard;
     const auto file = yard.fleet();
--- a/tests/stand_ins/boxes.hpp
+++ b/tests/stand_ins/boxes.hpp
@@ -89,6 +89,8 @@
     // A box says no to `copy` until it has taken so long.
     void copy_takes(int ms) { copy_ms_ = ms; }
     void answers_after(int ms) { answer_ms_ = ms; }
+    // A box (from 1) is dead: connections end, and new ones at once. It comes back with what it kept.
+    void dead(std::size_t box, bool is) { dead_ = is ? box : 0; }
     // Parts wait at the boxes until they are let go; then they are looked at.
     void hold(bool held) { held_ = held; }
     std::size_t waiting() const {
@@ -143,8 +145,8 @@
             for (const auto& link : links) polled.push_back({link.peer.fd(), POLLIN, 0});
             poll(polled.data(), polled.size(), 2);
             for (std::size_t i = links.size(); i-- > 0;) {
-                bool open = true;
-                if (polled[boxes_.size() + i].revents != 0) {
+                bool open = links[i].box + 1 != dead_;
+                if (open && polled[boxes_.size() + i].revents != 0) {
                     do open = read(links[i]);
                     while (open && links[i].peer.holds_more());
                 }
@@ -161,7 +163,9 @@
                 waiting_ = waiting;
             }
             for (std::size_t b = 0; b < boxes_.size(); ++b) {
-                if (polled[b].revents != 0) links.push_back({b, boxes_[b].listener.accept(), {}});
+                if (polled[b].revents == 0) continue;
+                auto peer = boxes_[b].listener.accept();
+                if (b + 1 != dead_) links.push_back({b, std::move(peer), {}});
             }
         }
     }
@@ -268,6 +272,7 @@
     std::map<std::pair<std::size_t, placement::MoveId>, std::chrono::steady_clock::time_point> copies_;
     std::atomic<int> copy_ms_ = 0;
     std::atomic<int> answer_ms_ = 0;
+    std::atomic<std::size_t> dead_ = 0;
     std::atomic<bool> held_ = false;
     std::atomic<bool> stop_ = false;
     std::thread thread_;
