--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -343,6 +343,7 @@
         mg.budget_ends = std::min(mg.answer_by, client_start(mg, type) + type.latency_budget - 4 * turn_);
         s_.add_parts(mg, told.parts);
 
+        mg.alone = is_deadly(mg);
         if (type.least_share < type.whole_share && !mg.parts.empty()) {
             post_.pulse.push_back(Weighed{1.0 / static_cast<double>(mg.parts.size())});
         }
@@ -363,6 +364,7 @@
     void take(const PlacePart& note) {
         auto [mg, part] = s_.find(note.part);
         if (part == nullptr || part->stage != Stage::kWaiting) return;
+        if (mg->alone && mg->probe != 0) return;
         const auto& type = type_of(mg->told);
         if (!may_send(*part, type)) part->stage = Stage::kLost;
         if (!part->open()) return review(*mg);
@@ -378,8 +380,11 @@
         sent.over = true;
         sent.may_have_run = over.outcome != Outcome::kFull && over.outcome != Outcome::kNoConnection &&
                             over.outcome != Outcome::kNeverSent;
+        if (over.outcome == Outcome::kReset && doubt(*mg, over.part)) return;
+        if (mg->probe == over.part && !part->any_out()) mg->probe = 0;
         if (!part->open()) return;
         if (over.outcome == Outcome::kReturned) {
+            mg->alone = false;
             earn(post_.now - sent.sent <= type_of(mg->told).latency_budget / 2 ? kEarned : 1 / kEarned);
             part->stage = Stage::kIn;
             call_off_rest(*part);
@@ -480,6 +485,43 @@
         }
     }
 
+    // Guards against multigets that kill every server that begins a part of them: no part of one is ever
+    // answered, and servers die under it one after the other, not at once as when they die by themselves. From
+    // the first death on its parts go again one at a time; from the second turn with deaths on, what is out is
+    // called off too. If the one that is out alone dies as well it is given up, and its key is remembered.
+    bool doubt(MultigetState& mg, Id part) {
+        if (mg.step > 1 || mg.tally().parts_in > 0) return false;
+        if (mg.probe == part) {
+            remember_deadly(mg);
+            give_up(mg);
+            return true;
+        }
+        const bool again = mg.died_at >= 0 && mg.died_at < post_.now;
+        mg.died_at = post_.now;
+        mg.alone = true;
+        if (!again || type_of(mg.told).repeat == Repeat::kNonRetriable) return false;
+        for (auto& each : mg.parts) {
+            if (each.told.id != mg.probe) call_off_rest(each);
+        }
+        return false;
+    }
+
+    bool is_deadly(const MultigetState& mg) {
+        while (!s_.deadly.empty() && s_.deadly.front().second < post_.now) s_.deadly.pop_front();
+        return std::any_of(mg.parts.begin(), mg.parts.end(), [this](const auto& part) {
+            return std::any_of(s_.deadly.begin(), s_.deadly.end(),
+                               [&](const auto& each) { return each.first == part.told.key; });
+        });
+    }
+
+    void remember_deadly(const MultigetState& mg) {
+        constexpr std::size_t kMost = 64;
+        constexpr Time kFor = 8;  // route timeouts: its client has long asked again by then
+        if (mg.parts.front().told.key == 0) return;
+        if (s_.deadly.size() == kMost) s_.deadly.pop_front();
+        s_.deadly.emplace_back(mg.parts.front().told.key, post_.now + kFor * type_of(mg.told).route_timeout);
+    }
+
     // The design's selection, with a floor guard: parts above alpha go out, and so do the heaviest ones that
     // cover the least share and a quarter of the rest, for where many parts weigh the same or nearly nothing.
     void select(MultigetState& mg, const OpType& type) {
@@ -589,6 +631,7 @@
         if (is_further) log_sends(0, 1);
         part.stage = Stage::kOut;
         part.further_wanted = false;
+        if (mg.alone) mg.probe = part.told.id;
         part.sends.push_back({card.server, post_.now, false, true});
         post_.servers[card.server].push_back(Order{part.told.id, static_cast<int>(part.sends.size()) - 1,
                                                    std::max<Time>(turn_, useful - post_.now),
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -62,6 +62,9 @@
     int step = 1;
     bool step_one_whole = true;
     bool awaiting_step = false;
+    Time died_at = -1;     // when servers last died under its parts, before any of them was answered
+    bool alone = false;    // suspect: its parts go one at a time
+    Id probe = 0;          // the one that is out alone
 
     Tally tally() const {
         Tally sum;
@@ -259,6 +262,7 @@
     std::map<ServerId, Card> cards;
     int failing = 0;               // cards of servers that are
     std::vector<TriesSeen> tries;  // by op type
+    std::deque<std::pair<std::uint64_t, Time>> deadly;  // keys of parts that brought servers down, and until when
     double credit = 0;             // parts that may be sent
     double depth = 0;              // the most of it that is saved
     double even_share = 0;
