--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -215,12 +215,16 @@
         const double most = std::max(1.0, rate * static_cast<double>(cold_.tip_after) / 2);
         s_.cold_room = std::min(most, s_.cold_room + rate * static_cast<double>(post_.now - s_.room_filled));
         s_.room_filled = post_.now;
+        s_.room_at = s_.cold_room >= 1 ? 0 : post_.now + static_cast<Time>((1 - s_.cold_room) / rate);
     }
 
     void publish() {
+        const bool cold = is_cold() && s_.entry.state == ServerState::kReady;
+        if (std::exchange(s_.told_cold, cold) != cold) post_.pulse.push_back(Chill{cold ? 1 : -1});
         post_.wake(id_, !s_.out.empty() || s_.is_away() || is_cold());
         Card card = s_.card(id_);
         if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
+        if (is_cold()) card.room_at = s_.room_at;
         // On trial it gets one part at a time; one that is called off has told nothing. So too while aside,
         // where no other replica is left: it tells early that a stall of many is over.
         const bool doubted = s_.standing == Standing::kTrial || s_.standing == Standing::kAside;
@@ -265,16 +269,20 @@
         s_.gap += (since - s_.gap) / (s_.gap > 0 ? 4 : 1);
         s_.mean_weight += (w.mean - s_.mean_weight) / (s_.mean_weight > 0 ? 8 : 1);
     }
+    void take(const Chill& chill) { s_.cold += chill.by; }
     void take(const Fleet& fleet) { s_.ready = static_cast<std::size_t>(fleet.ready); }
 
     void take(const Tick&) {
         if (s_.weighed == 0) s_.weighed = post_.now;
         if (post_.now < s_.window_ends) return;
         s_.window_ends = post_.now + kWindow;
-        // Over all servers and windows: by those alone that answered, a node that sees little would take its
-        // few answers of each for what it bears, and all nodes together would push cold servers over.
-        const double ready = std::max(1.0, static_cast<double>(s_.ready));
-        s_.pace.borne += (std::exchange(s_.borne, 0) / ready / kWindow - s_.pace.borne) / 8;
+        // Over all warm servers and windows: by those alone that answered, a node that sees little would take
+        // its few answers of each for what it bears, and all nodes together would push cold servers over.
+        // Where most are cold the rest tell nothing, and what was learnt before holds.
+        const double warm = static_cast<double>(s_.ready) - s_.cold;
+        const double answered = std::exchange(s_.borne, 0);
+        if (2 * warm >= static_cast<double>(s_.ready))
+            s_.pace.borne += (answered / std::max(1.0, warm) / kWindow - s_.pace.borne) / 8;
         for (const auto& id : post_.known) post_.servers[id].push_back(s_.pace);
         // Where few sends end the counts go on. Alpha falls meanwhile; but where the multigets it decides on
         // come far apart, after a drowned fleet, only once it was used: else it is gone before each next one.
@@ -579,9 +587,10 @@
         constexpr Time kNone = std::numeric_limits<Time>::max();
         std::array<Time, 2> shortest{kNone, kNone};  // of those in use, and aside
         for (const auto* card : s_.holders(ring_, part.told.shard)) {
-            if (!card->listed_ready || card->room < 1) continue;
+            // A cold server's room comes with time; one on trial has it when its part has ended.
+            if (!card->listed_ready || (card->room < 1 && card->room_at <= post_.now)) continue;
             auto& which = shortest[is_away(*card) ? 1 : 0];
-            which = std::min(which, expected_wait(*card));
+            which = std::min(which, std::max(expected_wait(*card), card->room_at - post_.now));
         }
         return shortest[0] == kNone ? shortest[1] : shortest[0];
     }
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -37,6 +37,7 @@
     int calls_out = 0;
     int parts_out = 0;
     int room = std::numeric_limits<int>::max();  // parts it may be sent now
+    Time room_at = 0;                            // when a cold one has room again; 0 if it has
     double credit = 0;
     Time wait = 0;  // what answers lately had to wait, when last seen
     Time wait_seen = 0;
@@ -67,6 +68,9 @@
 struct Fleet {
     int ready = 0;
 };
+struct Chill {  // a listed server became cold, or is so no more
+    int by = 0;
+};
 struct Alpha {
     double value = 0;
     double even_share = 0;  // parts in a tenth of a millisecond: of what one core of each server bears
@@ -77,7 +81,7 @@
 
 using SendKey = std::pair<Id, int>;
 using ServerNote = std::variant<Tick, ListEntry, Order, SendEnded, Pace>;
-using PulseNote = std::variant<Tick, Strain, Took, Weighed, Fleet>;
+using PulseNote = std::variant<Tick, Strain, Took, Weighed, Fleet, Chill>;
 using FollowerNote = std::variant<Tick, ListNews>;
 using DeskNote =
     std::variant<Tick, SendOver, Overdue, Alpha, MultigetArrival, SecondStep, ClientLeft, PlacePart>;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -177,6 +177,8 @@
     Pace pace;
     double cold_room = 0;  // parts that it may be sent now
     Time room_filled = 0;
+    Time room_at = 0;         // when there is room for one again
+    bool told_cold = false;   // to the pulse
 
     bool is_over() const { return entry.state == ServerState::kGone && out.empty(); }
     bool is_away() const { return standing == Standing::kAside || standing == Standing::kFailing; }
@@ -229,6 +231,7 @@
     int borne = 0;  // answers of warm servers
     Time window_ends = 0;
     std::size_t ready = 0;  // servers listed
+    int cold = 0;           // of these
     double mean_weight = 0;
     double alpha = 0;
     Time weighed = 0;      // when alpha last decided on a multiget
