--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -349,6 +349,9 @@
         deepen(3 * static_cast<double>(told.parts.size()));
         mg.answer_by = told.not_after - 2 * turn_;
         mg.budget_ends = std::min(mg.answer_by, client_start(mg, type) + type.latency_budget - 4 * turn_);
+        // The budget holds for both steps, whose parts are alike in kind: the second one has as long as one
+        // that is lost to a silent server needs to be seen and sent again.
+        mg.step_ends = mg.budget_ends - (type.second_step_parts > 0 ? type.latency_budget * 3 / 8 : 0);
         s_.add_parts(mg, told.parts);
 
         mg.alone = is_deadly(mg);
@@ -363,6 +366,7 @@
             if (!mg.awaiting_step || mg.told.number != step.number) continue;
             log_sends(static_cast<int>(step.parts.size()), 0);
             mg.awaiting_step = false;
+            mg.step_ends = mg.budget_ends;
             s_.add_parts(mg, step.parts);
             for (const auto& part : mg.parts) post_.desk.push_back(PlacePart{part.told.id});
             return;
@@ -672,10 +676,10 @@
         if (whole || (floor_in && parts_open == 0)) return answer(mg, type, whole);
         if (parts_open == 0 || in + pending + kRounding < type.least_share) return give_up(mg);
         if (post_.now >= mg.answer_by) return floor_in ? answer(mg, type, false) : give_up(mg);
-        if (post_.now < mg.budget_ends) return;
+        if (post_.now < mg.step_ends) return;
         // In time with what is in beats whole but late; what is worth nothing late is given up at once.
         if (floor_in && type.short_importance * in > type.late_importance) return answer(mg, type, false);
-        if (type.late_importance <= 0) give_up(mg);
+        if (type.late_importance <= 0 && post_.now >= mg.budget_ends) give_up(mg);
     }
 
     void answer(MultigetState& mg, const OpType& type, bool whole) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -57,6 +57,7 @@
     MultigetArrival told;
     std::vector<PartState> parts;
     Time budget_ends = 0;  // an answer sent by then is in time
+    Time step_ends = 0;    // where a second step follows, the first one's answer leaves it time
     Time answer_by = 0;    // the last moment for any final answer
     bool repeat = false;   // known or guessed
     int step = 1;
