--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -448,6 +448,7 @@
     static constexpr double kEarned = 1.5;        // parts, by an answer within half its latency budget
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
     static constexpr Time kLosesFor = 32;    // latency budgets that a server is shunned for a failed send
+    static constexpr Time kFailedFor = 1;    // and comes last for all others, lest it draw them
     static constexpr double kHopeful = 0.4;  // of the time left that an expected wait may take
 
     void log_sends(int taken, int sent) {
@@ -628,7 +629,10 @@
             const bool loses = card.lost > 0 && post_.now - card.lost < kLosesFor * type.latency_budget;
             const bool doubted =
                 type.repeat != Repeat::kRetriable && (loses || card.standing != Standing::kGood);
-            const int last = (unfit ? 3 : 0) + (is_away(card) ? 2 : (doubted || too_slow ? 1 : 0));
+            // One that fails at once has the fewest parts out for it, and would draw what others lost.
+            const bool failed = card.lost > 0 && post_.now - card.lost < kFailedFor * type.latency_budget;
+            const bool later = doubted || too_slow || failed;
+            const int last = (unfit ? 3 : 0) + (is_away(card) ? 2 : (later ? 1 : 0));
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
             if (rank < lowest) best.clear();
             lowest = std::min(lowest, rank);
