--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -392,7 +392,7 @@
         sent.over = true;
         sent.may_have_run = over.outcome != Outcome::kFull && over.outcome != Outcome::kNoConnection &&
                             over.outcome != Outcome::kNeverSent;
-        if (over.outcome == Outcome::kReset && doubt(*mg, over.part)) return;
+        if (over.outcome == Outcome::kReset && doubt(*mg, over.part, sent.server)) return;
         if (mg->probe == over.part && !part->any_out()) mg->probe = 0;
         if (!part->open()) return;
         if (over.outcome == Outcome::kReturned) {
@@ -457,10 +457,11 @@
 
     // Keeps further sends within the stated few plus the stated share of what was taken in the same time. One
     // counts when it arrives, maybe a connect time-out late: a turn and so much, either way, count against.
-    bool budget_allows() const {
+    bool budget_allows(std::size_t more = 1) const {
         if (further_.look_back == 0) return true;
         const double earned = further_.ratio * log_.taken_after(post_.now - further_.look_back + slack_);
-        return further_.floor + earned - log_.sent_from(post_.now - further_.look_back - slack_) >= 1;
+        return further_.floor + earned - log_.sent_from(post_.now - further_.look_back - slack_) >=
+               static_cast<double>(more);
     }
 
     // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when it
@@ -498,21 +499,21 @@
         }
     }
 
-    // Guards against multigets that kill every server that begins a part of them: no part of one is ever
-    // answered, and servers die under it one after the other, not at once as when they die by themselves. From
-    // the first death on its parts go again one at a time; from the second turn with deaths on, what is out is
-    // called off too. If the one that is out alone dies as well it is given up, and its key is remembered.
-    bool doubt(MultigetState& mg, Id part) {
+    // Guards against multigets that kill every server that begins a part of them: servers die under one, and no
+    // part of it is ever answered. From the first death on its parts go again one at a time, until an answer
+    // clears it. From the second server on, what is out is called off too, if it may all go again. If the part
+    // that is out alone dies as well, the multiget is given up and its key is remembered for its repeats.
+    bool doubt(MultigetState& mg, Id part, ServerId server) {
         if (mg.step > 1 || mg.tally().parts_in > 0) return false;
         if (mg.probe == part) {
             remember_deadly(mg);
             give_up(mg);
             return true;
         }
-        const bool again = mg.died_at >= 0 && mg.died_at < post_.now;
-        mg.died_at = post_.now;
         mg.alone = true;
-        if (!again || type_of(mg.told).repeat == Repeat::kNonRetriable) return false;
+        const bool second = mg.died.insert(server).second && mg.died.size() == 2;
+        if (!second || type_of(mg.told).repeat == Repeat::kNonRetriable) return false;
+        if (!budget_allows(mg.parts.size())) return false;
         for (auto& each : mg.parts) {
             if (each.told.id != mg.probe) call_off_rest(each);
         }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -63,7 +63,7 @@
     int step = 1;
     bool step_one_whole = true;
     bool awaiting_step = false;
-    Time died_at = -1;     // when servers last died under its parts, before any of them was answered
+    std::set<ServerId> died;  // under its parts, before any of them was answered
     bool alone = false;    // suspect: its parts go one at a time
     Id probe = 0;          // the one that is out alone
 
