Saved credit: the longest multiget and an even share of a budget's work; lost sends give theirs back

At fault: three of the longest multigets, at 64 to 87 nodes and up to 100 parts, are seconds of the whole fleet's work; the guard never bit. A send whose server died or refused the connection left its credit spent though it weighs on nobody.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -337,7 +337,7 @@
     void take(const Alpha& alpha) {
         s_.alpha = alpha.value;
         s_.even_share = alpha.even_share;
-        deepen(alpha.even_share * static_cast<double>(shortest_budget(op_types_)));
+        deepen();
     }
 
     void take(const MultigetArrival& told) {
@@ -346,7 +346,8 @@
         mg.told = told;
         mg.told.parts.clear();
         const auto& type = type_of(told);
-        deepen(3 * static_cast<double>(told.parts.size()));
+        s_.longest = std::max(s_.longest, told.parts.size());
+        deepen();
         mg.answer_by = told.not_after - 2 * turn_;
         mg.budget_ends = std::min(mg.answer_by, client_start(mg, type) + type.latency_budget - 4 * turn_);
         // The budget holds for both steps, whose parts are alike in kind: the second one has as long as one
@@ -392,6 +393,9 @@
         sent.over = true;
         sent.may_have_run = over.outcome != Outcome::kFull && over.outcome != Outcome::kNoConnection &&
                             over.outcome != Outcome::kNeverSent;
+        // What died or never came to be done weighs on no server any more.
+        const bool undone = over.outcome == Outcome::kReset || over.outcome == Outcome::kNoConnection;
+        if (undone || over.outcome == Outcome::kNeverSent) earn(1);
         if (over.outcome == Outcome::kReset && doubt(*mg, over.part, sent.server)) return;
         if (mg->probe == over.part && !part->any_out()) mg->probe = 0;
         if (!part->open()) return;
@@ -657,8 +661,10 @@
     }
 
     void earn(double by) { s_.credit = std::min(s_.alpha > 0 ? s_.depth / 3 : s_.depth, s_.credit + by); }
-    // As deep as three of the longest multigets, or this node's even share of a latency budget's work.
-    void deepen(double depth) {
+    // As deep as the longest multiget and, on top, this node's even share of a latency budget's work.
+    void deepen() {
+        const double share = s_.even_share * static_cast<double>(shortest_budget(op_types_));
+        const double depth = static_cast<double>(s_.longest) + share;
         if (depth > s_.depth) s_.credit += depth - std::exchange(s_.depth, depth);
     }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -268,6 +268,7 @@
     std::vector<TriesSeen> tries;  // by op type
     std::deque<std::pair<std::uint64_t, Time>> deadly;  // keys of parts that brought servers down, and until when
     double credit = 0;             // parts that may be sent
+    std::size_t longest = 0;       // parts of the longest multiget so far
     double depth = 0;              // the most of it that is saved
     double even_share = 0;
     Time earned_until = 0;
