--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -549,7 +549,7 @@
         double hopeful = 0;
         // A late answer that still earns something lengthens the time by that share.
         const Time late = mg.answer_by - mg.budget_ends;
-        const double left = static_cast<double>(mg.budget_ends - post_.now) +
+        const double left = static_cast<double>(mg.step_ends - post_.now) +
                             type.late_importance * static_cast<double>(late);
         for (std::size_t i = 0; i < mg.parts.size(); ++i) {
             const double weight = mg.parts[i].told.weight;
