--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -510,6 +510,7 @@
     bool doubt(MultigetState& mg, Id part, ServerId server) {
         if (mg.step > 1 || mg.tally().parts_in > 0) return false;
         if (mg.probe == part) {
+            post_.actions.emplace_back(LogLine{"given up: servers died under each part sent"});
             remember_deadly(mg);
             give_up(mg);
             return true;
--- a/src/stated/stated.cpp
+++ b/src/stated/stated.cpp
@@ -148,6 +148,10 @@
         } else if (effect == "guarded") {
             type.repeat = Repeat::kDeduped;
             type.dedup_window = time(at + "memory_span_ms");
+            // A part may go again to any holder of its shard: each of them has to know the repeat.
+            if (const auto* scope = find(at + "dedup_scope"); scope != nullptr && *scope != "all") {
+                throw BadStated("settings: " + at + "dedup_scope is not served: '" + *scope + "'");
+            }
         } else if (effect != "single_shot") {
             throw BadStated("settings: " + at + "effect is unknown: '" + effect + "'");
         }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -115,6 +115,7 @@
 0 send 100 to A
 5 call off 102 send 0
 5 call off 103 send 0
+10 log given up: servers died under each part sent
 10 push back 1 for 500
 3010 send 200 to D
 )");
