--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -549,7 +549,8 @@
         double covered = 0;
         double hopeful = 0;
         // A late answer that still earns something lengthens the time by that share.
-        const Time late = mg.answer_by - mg.budget_ends;
+        const bool partly = type.least_share < type.whole_share;  // answered with what is in by the step's end
+        const Time late = partly ? 0 : mg.answer_by - mg.budget_ends;
         const double left = static_cast<double>(mg.step_ends - post_.now) +
                             type.late_importance * static_cast<double>(late);
         for (std::size_t i = 0; i < mg.parts.size(); ++i) {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -570,6 +570,22 @@
 )");
 }
 
+TEST_CASE("a late answer lengthens what a wait may take only for what needs every part") {
+    Script s;
+    s.partly.late_importance = s.wholly.late_importance = 1;
+    s.list("A0 B1 C2 D3");
+    for (Id id = 1; id <= 8; ++id) s.arrive(id, kOnce, {1}, 0);
+    s.pass(600).end({100, 200, 300, 400, 500, 600, 700, 800}).quietly();
+    s.arrive(11, kWholly, {0.5, 0.5}, 0).arrive(12, kPartly, {0.2, 0.2, 0.3, 0.3});
+    CHECK(s.trace() == R"(
+600 send 1100 to A
+600 send 1101 to C
+600 send 1202 to D
+600 send 1203 to D
+600 send 1201 to C
+)");
+}
+
 TEST_CASE("a replica too slow for the time left is passed over while another is not") {
     Script s;
     s.list("A0 B1d C2 D3");
