--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -433,7 +433,7 @@
 
     void take(const Tick&) {
         const auto since = static_cast<double>(post_.now - std::exchange(s_.earned_until, post_.now));
-        earn(s_.even_share * since / 8);
+        earn(s_.even_share * since / 2);
         std::vector<Id> ids;
         for (const auto& [id, mg] : s_.multigets) ids.push_back(id);
         for (const Id id : ids) {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -181,6 +181,16 @@
 )");
 }
 
+TEST_CASE("a node whose credit is spent earns it back by half of its even share of what servers bear") {
+    Script s;
+    s.front_nodes = 16;
+    s.list("A0 B1 C2 D3").arrive(1, kOnce, {0.5, 0.5}, 0).arrive(2, kOnce, {0.5, 0.5}, 2).pass(5);
+    s.end({100, 101, 200, 201}, Outcome::kError).quietly().arrive(3, kOnce, {0.5, 0.5}, 0).pass(2'400);
+    s.arrive(4, kOnce, {0.5, 0.5}, 0);
+    CHECK(s.trace() == R"(
+)");
+}
+
 TEST_CASE("a send whose server died gives its credit back") {
     Script s;
     s.front_nodes = 100;
