--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -188,6 +188,9 @@
     s.end({100, 101, 200, 201}, Outcome::kError).quietly().arrive(3, kOnce, {0.5, 0.5}, 0).pass(2'400);
     s.arrive(4, kOnce, {0.5, 0.5}, 0);
     CHECK(s.trace() == R"(
+5 push back 3 for 500
+2405 send 400 to B
+2405 send 401 to C
 )");
 }
 
