--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -215,7 +215,10 @@
         const double most = std::max(1.0, rate * static_cast<double>(cold_.tip_after) / 2);
         s_.cold_room = std::min(most, s_.cold_room + rate * static_cast<double>(post_.now - s_.room_filled));
         s_.room_filled = post_.now;
-        s_.room_at = s_.cold_room >= 1 ? 0 : post_.now + static_cast<Time>((1 - s_.cold_room) / rate);
+        // Once warm it has room: settings that let a server start with nothing make the rate 0 at first.
+        const double until =
+            std::min((1 - s_.cold_room) / std::max(rate, 1e-12), static_cast<double>(cold_.warm_after));
+        s_.room_at = s_.cold_room >= 1 ? 0 : post_.now + static_cast<Time>(until);
     }
 
     void publish() {
@@ -223,8 +226,10 @@
         if (std::exchange(s_.told_cold, cold) != cold) post_.pulse.push_back(Chill{cold ? 1 : -1});
         post_.wake(id_, !s_.out.empty() || s_.is_away() || is_cold());
         Card card = s_.card(id_);
-        if (is_cold()) card.room = static_cast<int>(std::max(0.0, s_.cold_room));
-        if (is_cold()) card.room_at = s_.room_at;
+        if (is_cold()) {
+            card.room = static_cast<int>(std::max(0.0, s_.cold_room));
+            card.room_at = s_.room_at;
+        }
         // On trial it gets one part at a time; one that is called off has told nothing. So too while aside,
         // where no other replica is left: it tells early that a stall of many is over.
         const bool doubted = s_.standing == Standing::kTrial || s_.standing == Standing::kAside;
@@ -452,7 +457,6 @@
     static constexpr double kEarned = 1.5;        // parts, by an answer within half its latency budget
     static constexpr double kRounding = 0.00005;  // told weights miss 1 by a hair
     static constexpr Time kLosesFor = 32;    // latency budgets that a server is shunned for a failed send
-    static constexpr Time kFailedFor = 1;    // and comes last for all others, lest it draw them
     static constexpr double kHopeful = 0.4;  // of the time left that an expected wait may take
 
     void log_sends(int taken, int sent) {
@@ -570,7 +574,7 @@
         for (const auto& [hopeless, minus, i] : order) {
             auto& part = mg.parts[i];
             const bool cut = hopeless || part.told.weight <= s_.alpha || afford == 0;
-            if (type.least_share < type.whole_share && cut && covered >= guard) {
+            if (partly && cut && covered >= guard) {
                 part.stage = Stage::kLeftOut;
                 continue;
             }
@@ -638,7 +642,7 @@
             const bool doubted =
                 type.repeat != Repeat::kRetriable && (loses || card.standing != Standing::kGood);
             // One that fails at once has the fewest parts out for it, and would draw what others lost.
-            const bool failed = card.lost > 0 && post_.now - card.lost < kFailedFor * type.latency_budget;
+            const bool failed = card.lost > 0 && post_.now - card.lost < type.latency_budget;
             const bool later = doubted || too_slow || failed;
             const int last = (unfit ? 3 : 0) + (is_away(card) ? 2 : (later ? 1 : 0));
             const std::array<int, 3> rank{last, card.calls_out, card.parts_out};
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -160,6 +160,15 @@
 )");
 }
 
+TEST_CASE("a server that may start with nothing has room at the latest when it is warm") {
+    Script s;
+    s.cold = {0, 3'000, 3, 10'000};
+    s.pass(5).list("A0@5").arrive(1, kWholly, {1}, 3).pass(350);
+    CHECK(s.trace() == R"(
+230 send 100 to A
+)");
+}
+
 TEST_CASE("where a second step follows, the first one's answer leaves it time") {
     Script s;
     s.partly.second_step_parts = 1;
