Limits of the whole fleet of further sends, and of connections and parts out at each server

Need: the fleet could limit multigets only; hundreds of front nodes that turn to one server, or send again all at once, had nothing that held for all of them together.

Change: `of` in [[fleet.limits]]. One share a node holds at each server, so what is said does not grow with the servers. Buckets and demand are taken out of the gate for all of them. The lab states and checks each by the servers' record.

Found on the way: a server that flaps is listed as another each time, and a limit by listing held nothing. Off, the module decides as before.

--- a/src/fleet/gate.cpp
+++ b/src/fleet/gate.cpp
@@ -12,15 +12,22 @@
 constexpr double kGrow = 1.5;
 constexpr double kLikely = 4;  // that would have come in a silence: e^-4 of such silences are chance
 
+// An exponential mean over about kMemory seconds, which falls while nothing comes.
+double fades(Time& at, Time now) {
+    const double since = at == 0 ? 0 : static_cast<double>(now - at) / kSecond;
+    at = now;
+    return std::exp(-std::max(0.0, since) / kMemory);
+}
+
 }  // namespace
 
-double Gate::most(double share) const {
-    return std::max(1.0, limit_.per_second > 0 ? limit_.burst * share / limit_.per_second : 0);
+double Bucket::most(double share) const {
+    return std::max(1.0, per_second_ > 0 ? burst_ * share / per_second_ : 0);
 }
 
 // What was saved until now was saved at the share of then: guards against a node that nothing came to, whose share
 // grows, and which would have the burst of what it grew by at once, though another has just used it.
-void Gate::refill(Time now, double share) {
+double Bucket::refill(Time now, double share) {
     const double since = filled_at_ == 0 ? 0 : static_cast<double>(now - filled_at_) / kSecond;
     if (filled_at_ == 0) share_ = share;
     filled_at_ = now;
@@ -28,29 +35,32 @@
     // A share that shrank takes its part of the burst along.
     saved_ = std::min(most(share), saved_);
     share_ = share;
+    return saved_;
 }
 
-// An exponential mean over about kMemory seconds, which falls while nothing comes.
-void Gate::count(Time now) {
-    if (rate_at_ == 0) rate_at_ = now;
-    const double since = static_cast<double>(now - std::exchange(rate_at_, now)) / kSecond;
-    const double fades = std::exp(-std::max(0.0, since) / kMemory);
-    rate_ *= fades;
-    away_lately_ *= fades;
+void Demand::came(Time now, double count) {
+    rate_ = rate_ * fades(rate_at_, now) + count / kMemory;
+    came_at_ = now;
+}
+
+double Demand::need(Time now) {
+    rate_ *= fades(rate_at_, now);
+    // Guards against a tenant that went on to another node: by the mean alone this one would hold a part of the limit for
+    // seconds. At more than so many a second something would have come by now, in 49 of 50 such silences.
+    const double silent = static_cast<double>(now - came_at_) / kSecond;
+    const double rate = silent > 0 ? std::min(rate_, kLikely / silent) : rate_;
+    return rate < 0.01 ? 0 : kGrow * rate + 1;
 }
 
 bool Gate::pass(Time now, double share) {
-    count(now);
-    refill(now, share);
-    ++came_;
-    came_at_ = now;
-    rate_ += 1 / kMemory;
-    if (saved_ < 1) {
+    demand_.came(now);
+    away_lately_ *= fades(away_at_, now);
+    if (bucket_.refill(now, share) < 1) {
         ++turned_away_;
         away_lately_ += 1 / kMemory;
         return false;
     }
-    saved_ -= 1;
+    bucket_.take(1);
     ++passed_;
     return true;
 }
@@ -62,13 +72,4 @@
     return until - static_cast<Time>(chance_() % static_cast<std::uint64_t>(until / 2 + 1));
 }
 
-double Gate::need(Time now) {
-    count(now);
-    // Guards against a tenant that went on to another node: by the mean alone this one would hold a part of the limit for
-    // seconds. At more than so many a second something would have come by now, in 49 of 50 such silences.
-    const double silent = static_cast<double>(now - came_at_) / kSecond;
-    const double rate = silent > 0 ? std::min(rate_, kLikely / silent) : rate_;
-    return rate < 0.01 ? 0 : kGrow * rate + 1;
-}
-
 }  // namespace pinedoor::fleet
--- a/src/fleet/gate.hpp
+++ b/src/fleet/gate.hpp
@@ -12,36 +12,58 @@
 
 namespace pinedoor::fleet {
 
+// What may pass at a share that moves: it fills at the share, up to the share's part of the burst, one at least.
+class Bucket {
+public:
+    // `saved`: at its begin. 0 where what an earlier life of the node saved may be in use still.
+    explicit Bucket(const LimitTerms& limit, double saved = 0) : per_second_(limit.per_second), burst_(limit.burst), saved_(saved) {}
+
+    double refill(Time now, double share);  // what may pass now
+    void take(double count) { saved_ -= count; }
+
+private:
+    double most(double share) const;  // that may be saved at such a share
+
+    double per_second_, burst_;
+    double saved_;
+    Time filled_at_ = 0;
+    double share_ = 0;  // since then
+};
+
+// What comes, passed or not: a rate a second over a few seconds, that falls while nothing comes.
+class Demand {
+public:
+    void came(Time now, double count = 1);
+    // What this node needs of a limit: what came of late, and half as much again to grow into; soon nothing once
+    // nothing comes.
+    double need(Time now);
+
+private:
+    double rate_ = 0;
+    Time rate_at_ = 0;
+    Time came_at_ = 0;  // last
+};
+
 class Gate {
 public:
-    Gate(const LimitTerms& limit, std::uint64_t seed) : limit_(limit), chance_(seed) {}
+    Gate(const LimitTerms& limit, std::uint64_t seed) : bucket_(limit), chance_(seed) {}
 
     // Whether one more may pass, at a share of so many a second; if not, after how long to return: between half of
     // and the whole time until as many as are turned away now could pass.
     bool pass(Time now, double share);
     Time wait(double share, Time most);
-    // What this node needs of the limit: what came of late, passed or not, and half as much again to grow into; soon
-    // nothing once nothing comes.
-    double need(Time now);
+    double need(Time now) { return demand_.need(now); }
 
     std::uint64_t passed() const { return passed_; }
     std::uint64_t turned_away() const { return turned_away_; }
 
 private:
-    double most(double share) const;  // that may be saved at such a share
-    void refill(Time now, double share);
-    void count(Time now);
-
-    const LimitTerms limit_;
+    Bucket bucket_;
+    Demand demand_;
     std::mt19937_64 chance_;
-    double saved_ = 0;
-    Time filled_at_ = 0;
-    double share_ = 0;  // since then
-    double rate_ = 0;  // a second, of what came
-    Time rate_at_ = 0;
-    Time came_at_ = 0;  // last
-    std::uint64_t came_ = 0, passed_ = 0, turned_away_ = 0;
-    double away_lately_ = 0;
+    std::uint64_t passed_ = 0, turned_away_ = 0;
+    double away_lately_ = 0;  // a second
+    Time away_at_ = 0;
 };
 
 }  // namespace pinedoor::fleet
--- a/src/fleet/leases.hpp
+++ b/src/fleet/leases.hpp
@@ -91,6 +91,7 @@
 
     // What this node may use now: its floor, and what it was lent if that has not ended.
     double may_use(Time now) const;
+    Time held_until() const { return held_until_; }  // what it was lent; by then it is lent anew or over
     bool owns(Time now) const;
     double lent(Time now) const;  // as the owner counts it
     std::string owner() const { return owner_; }  // as last heard
--- a/src/fleet/terms.hpp
+++ b/src/fleet/terms.hpp
@@ -12,12 +12,23 @@
 
 struct LimitTerms {  // of what all front nodes take together
     std::string name;
-    std::string tenant, op_type;  // empty: any
+    // What is limited: multigets taken, further sends, new connections to each index server, or parts out at each.
+    enum class Of { kMultigets, kFurtherSends, kConnections, kPartsOut } of = Of::kMultigets;
+    std::string tenant, op_type;  // of multigets; empty: any
     enum class Kind { kNeverOver, kAbout } kind = Kind::kNeverOver;
-    double per_second = 0;        // multigets
+    double per_second = 0;        // of parts out: at once
     double burst = 0;             // at most so many at once beyond it, all together
 };
 
+// As settings and the operators' page have it.
+constexpr const char* name_of(LimitTerms::Of of) {
+    using Of = LimitTerms::Of;
+    return of == Of::kMultigets      ? "multigets"
+           : of == Of::kFurtherSends ? "further-sends"
+           : of == Of::kConnections  ? "connections"
+                                     : "parts-out";
+}
+
 struct FleetTerms {
     bool on = false;
     std::vector<std::string> voters;
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -261,7 +261,7 @@
     how.watch = [&bar, last](int second, std::size_t open) {
         bar.show(std::min(static_cast<std::size_t>(second), last), last, std::to_string(open) + " open");
     };
-    LimitReader limit(world.fleet.limit_per_second, world.fleet.limit_burst);
+    LimitReader limit(world.fleet.limit_per_second, world.fleet.limit_burst, world.fleet.limit_of);
     const auto seen = play_fleet(world, how, [&](const std::string& line) {
         reader.take(line);
         limit.take(line);
--- a/src/lab/fleet/fleet_world.cpp
+++ b/src/lab/fleet/fleet_world.cpp
@@ -48,6 +48,7 @@
     auto limit = table.table("limit");
     terms.limit_per_second = limit.number("per_second", 0, 0, 1e6);
     terms.limit_burst = limit.number("burst", 0, 0, 1e6);
+    terms.limit_of = limit.word("of", {"multigets", "further-sends", "connections", "parts-out"});
     terms.limit_about = limit.flag("about", false);
     terms.late_ms = limit.number("late_ms", 2'000, 100, 600'000);
     terms.vote_ms = limit.number("vote_ms", 6'000, 100, 600'000);
@@ -158,7 +159,7 @@
         << "\nnews_by_ms = " << print(fleet.news_by_ms) << "\nseeds_after_s = " << print(fleet.seeds_after)
         << "\nperiod_ms = " << print(fleet.period_ms) << "\nrelayed = " << (fleet.relayed ? "true" : "false")
         << "\n\n[fleet.limit]\nper_second = " << print(fleet.limit_per_second)
-        << "\nburst = " << print(fleet.limit_burst) << "\nabout = " << (fleet.limit_about ? "true" : "false")
+        << "\nburst = " << print(fleet.limit_burst) << "\nof = \"" << fleet.limit_of << "\"\nabout = " << (fleet.limit_about ? "true" : "false")
         << "\nlate_ms = " << print(fleet.late_ms) << "\nvote_ms = " << print(fleet.vote_ms)
         << "\nlease_ms = " << print(fleet.lease_ms) << "\nvoters = " << fleet.voters
         << "\n\n[fleet.discovery]\ncalls_per_second = " << print(fleet.discovery.per_second)
--- a/src/lab/fleet/fleet_world.hpp
+++ b/src/lab/fleet/fleet_world.hpp
@@ -61,6 +61,7 @@
     CallTerms discovery;     // what it bears
     double limit_per_second = 0;  // multigets that all front nodes take together; 0: no limit
     double limit_burst = 0;
+    std::string limit_of = "multigets";  // or what else deploy/fleet.toml has
     bool limit_about = false;     // it holds about, and never over otherwise
     double late_ms = 2'000;       // then
     double vote_ms = 6'000, lease_ms = 3'000;  // of the limit's shares
--- a/src/lab/fleet/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -281,8 +281,12 @@
         out << "on = true\nvoters = [";
         for (int i = 0; i < std::min(fleet.voters, told_.world.nodes); ++i) out << (i > 0 ? ", " : "") << "\"lab-" << i << '"';
         out << "]\nvote_ms = " << fleet.vote_ms << "\nlease_ms = " << fleet.lease_ms
-            << "\nlate_ms = " << fleet.late_ms << "\nrenew_ms = " << fleet.lease_ms / 6 << "\n[[fleet.limits]]\nname = \"all\"\nper_second = "
-            << fleet.limit_per_second << "\nburst = " << fleet.limit_burst << '\n';
+            << "\nlate_ms = " << fleet.late_ms << "\nrenew_ms = " << fleet.lease_ms / 6 << "\n[[fleet.limits]]\nname = \"all\"\nof = \""
+            << fleet.limit_of << '"';
+        if (fleet.limit_of == "parts-out")
+            out << "\nat_once = " << fleet.limit_per_second << '\n';
+        else
+            out << "\nper_second = " << fleet.limit_per_second << "\nburst = " << fleet.limit_burst << '\n';
         if (fleet.limit_about) out << "kind = \"about\"\n";
         return out.str();
     }
--- a/src/lab/fleet/verdict.cpp
+++ b/src/lab/fleet/verdict.cpp
@@ -39,13 +39,22 @@
     std::istringstream words(line);
     Time at = 0;
     std::string what, name, skipped;
-    int node = 0;
-    if (!(words >> at >> what >> name >> skipped >> node) || what != "send") return;
-    if (std::exchange(seen_[std::stoull(name)], true)) return;
+    int node = 0, server = 0, number = 0;
+    if (!(words >> at >> what)) return;
+    if (what == "link" && of_ == "connections" && words >> server) return count(at, -1, server);
+    if (what == "holds" && of_ == "parts-out" && words >> server >> number)
+        worst_ = std::max(worst_, number - per_second_);
+    if (what != "send" || !(words >> name >> skipped >> node >> skipped >> server >> skipped >> number)) return;
+    if (of_ == "further-sends" && number > 0) count(at, node, -1);
+    if (of_ == "multigets" && !std::exchange(seen_[std::stoull(name)], true)) count(at, node, -1);
+}
+
+// The worst of all windows that end here, in one pass: a bucket that leaks at the limit's rate.
+void LimitReader::count(Time at, int node, int server) {
     passed_.emplace_back(at, node);
-    // The worst of all windows that end here, in one pass: a bucket that leaks at the limit's rate.
-    level_ = std::max(0.0, level_ - per_second_ * static_cast<double>(at - std::exchange(last_, at)) / kSecond) + 1;
-    worst_ = std::max(worst_, level_ - burst_);
+    auto& level = levels_[server];
+    level.now = std::max(0.0, level.now - per_second_ * static_cast<double>(at - std::exchange(level.last, at)) / kSecond) + 1;
+    worst_ = std::max(worst_, level.now - burst_);
 }
 
 std::uint64_t LimitReader::passed(Time from, Time until) const {
--- a/src/lab/fleet/verdict.hpp
+++ b/src/lab/fleet/verdict.hpp
@@ -61,22 +61,32 @@
     Time ailed_from_ = -1, ailed_until_ = -1;  // the first began, the first was over
 };
 
-// What a limit of the whole fleet let through, by the servers' record: a multiget counts when its first part is sent.
+// What a limit of the whole fleet let through, by the servers' record. `of` as in deploy/fleet.toml: a multiget counts when
+// its first part is sent, a connection when its server takes it, a part while its server has it and somebody waits for it.
 class LimitReader {
 public:
-    LimitReader(double per_second, double burst) : per_second_(per_second), burst_(burst) {}
+    LimitReader(double per_second, double burst, std::string of = "multigets")
+        : per_second_(per_second), burst_(burst), of_(std::move(of)) {}
     void take(const std::string& line);
-    // By how much the worst window had more than per_second * its length + burst; below 0: it never reached that.
+    // By how much the worst window had more than per_second * its length + burst, at the worst server where the limit holds
+    // at each; of parts out: by how many the most were more than the limit. Below 0: it never reached that.
     double worst_excess() const { return worst_; }
     std::uint64_t passed(Time from, Time until) const;
     std::uint64_t passed_by(int node, Time from, Time until) const;
 
 private:
+    struct Level {  // the fullest window that ends now, less what it may hold beside the burst
+        double now = 0;
+        Time last = 0;
+    };
+    void count(Time at, int node, int server);
+
     const double per_second_, burst_;
+    const std::string of_;
     std::map<std::uint64_t, bool> seen_;
     std::vector<std::pair<Time, int>> passed_;
-    double level_ = 0, worst_ = -1e18;  // level_: the fullest window that ends now, less what it may hold beside the burst
-    Time last_ = 0;
+    std::map<int, Level> levels_;  // by server; of all: one
+    double worst_ = -1e18;
 };
 
 // What befell a front node and what it did, in the order of time: its process, faults, what discovery told it, whom
--- a/src/lab/live/live_server.cpp
+++ b/src/lab/live/live_server.cpp
@@ -68,6 +68,7 @@
         auto [fd, error] = net::accept_from(door.fd);
         if (fd) {
             const auto id = ++last_link_;
+            book_.say(agenda_.now(), "link " + std::to_string(index_));
             most_in_a_second_ = std::max(most_in_a_second_, ++opened_[agenda_.now() / 10'000]);
             if (opened_.size() > 2) opened_.erase(opened_.begin());
             auto& link =
@@ -142,16 +143,27 @@
             parts_.erase(job);
             continue;
         }
+        note_in_hand(1);
         agenda_.at(agenda_.now() + travel(zone), [this, job] { arrive(job); });
     }
 }
 
+// A line for each second's new most.
+void LiveServer::note_in_hand(int more) {
+    in_hand_ += more;
+    const auto second = agenda_.now() / 10'000;
+    if (std::exchange(most_in_hand_at_, second) != second) most_in_hand_ = 0;
+    if (in_hand_ <= most_in_hand_) return;
+    most_in_hand_ = in_hand_;
+    book_.say(agenda_.now(), "holds " + std::to_string(index_) + ' ' + std::to_string(in_hand_));
+}
+
 void LiveServer::call_off(std::string_view id) {
     const auto found = by_id_.find(std::string(id));
     if (found == by_id_.end()) return;
     const auto part = parts_.find(found->second);
     if (part == parts_.end()) return;
-    part->second.called_off = true;
+    if (!std::exchange(part->second.called_off, true)) note_in_hand(-1);
     if (!model_.call_off(found->second)) return;  // it is worked on, or on its way
     parts_.erase(part);
     by_id_.erase(found);
@@ -214,6 +226,7 @@
     const auto part = std::move(found->second);
     parts_.erase(found);
     by_id_.erase(part.id);
+    if (!part.called_off) note_in_hand(-1);
     const auto link = links_.find(part.link);
     if (link == links_.end() || part.called_off) return;
     agenda_.at(agenda_.now() + travel(link->second->zone), [this, part, end, value] {
@@ -257,6 +270,7 @@
     ++era_;
     model_.clear();
     parts_.clear();
+    in_hand_ = 0;
     by_id_.clear();
     held_.clear();
     std::fill(condition_.keys.begin(), condition_.keys.end(), 0U);
--- a/src/lab/live/live_server.hpp
+++ b/src/lab/live/live_server.hpp
@@ -101,6 +101,7 @@
     void worked(Job job, std::uint32_t era);
     void reply(Job job, const char* end, const std::string& value);
     Time travel(int zone);
+    void note_in_hand(int more);
 
     net::Scheduler& scheduler_;
     Agenda& agenda_;
@@ -112,6 +113,8 @@
     std::multiset<int> failing_;  // clients
     ServerModel model_;
     std::uint32_t era_ = 0;
+    int in_hand_ = 0, most_in_hand_ = 0;  // parts that front nodes wait for here; the most of a second
+    Time most_in_hand_at_ = 0;
     std::unordered_map<Job, Part> parts_;
     std::unordered_map<std::string, Job> by_id_;
     std::vector<Job> held_;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -140,10 +140,7 @@
     }
 
     bool is_over() const { return s_.is_over(); }
-    ServerView view() const {
-        const Time started = is_cold() ? s_.started : 0;
-        return {id_, s_.standing != Standing::kGood, s_.failed, s_.answered, started, s_.cold_parts};
-    }
+    ServerView view() const { return s_.view(id_, is_cold()); }
 
 private:
     void judge(const SendEnded& ended, const OutSend& out) {
@@ -271,9 +268,9 @@
         const bool cold = is_cold() && s_.entry.state == ServerState::kReady;
         if (std::exchange(s_.told_cold, cold) != cold) post_.pulse.push_back(Chill{cold ? 1 : -1});
         post_.wake(id_, !s_.out.empty() || s_.is_away() || is_cold());
-        Card card = s_.card(id_);
+        Card card = s_.card(id_, post_.share.room(post_.now, static_cast<int>(s_.out.size())));
         if (is_cold()) {
-            card.room = static_cast<int>(std::max(0.0, s_.cold_room));
+            card.room = std::min(card.room, static_cast<int>(std::max(0.0, s_.cold_room)));
             card.room_at = s_.room_at;
         }
         // On trial it gets one part at a time; one that is called off has told nothing. So too while aside,
@@ -514,15 +511,16 @@
 
     void log_sends(int taken, int sent) {
         log_.note({post_.now, taken, sent}, post_.now - further_.look_back - slack_);
+        post_.further_sent += sent;
     }
 
     // Keeps further sends within the stated few plus the stated share of what was taken in the same time. One
     // counts when it arrives, maybe a connect time-out late: a turn and so much, either way, count against.
     bool budget_allows(std::size_t more = 1) const {
-        if (further_.look_back == 0) return true;
+        if (further_.look_back == 0) return post_.may_send_further(more);
         const double earned = further_.ratio * log_.taken_after(post_.now - further_.look_back + slack_);
-        return further_.floor + earned - log_.sent_from(post_.now - further_.look_back - slack_) >=
-               static_cast<double>(more);
+        const double left = further_.floor + earned - log_.sent_from(post_.now - further_.look_back - slack_);
+        return left >= static_cast<double>(more) && post_.may_send_further(more);
     }
 
     // Tries of an op type last alike, but a repeat may end with its client's whole time, which tells when it
@@ -829,6 +827,7 @@
         }
     }
 
+    void deliver(const FleetShare& share) { post.share = share; }
     void deliver(const ListNews& news) { post.follower.push_back(news); }
     void deliver(const SendEnded& ended) { post.servers[ended.server].push_back(ended); }
     void deliver(const ServerWord& word) {
@@ -875,6 +874,7 @@
 }
 
 std::vector<DeadlyKey> FrontNode::deadly_keys() const { return parts_->desk.deadly_keys(); }
+double FrontNode::further_sends() const { return parts_->post.further_sent; }
 
 std::vector<Action> FrontNode::turn(Time now, const std::vector<Event>& events) {
     auto& post = parts_->post;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -1,8 +1,10 @@
 // The interface of pinedoor's decision module, in plain types. All decisions are in logic.cpp.
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <variant>
@@ -192,6 +194,15 @@
     double taken = 0;  // of a cold one's room: parts in a tenth of a millisecond
 };
 
+struct FleetShare {  // what this node may use, of limits that hold for all front nodes; nothing after `until`
+    int parts_out = std::numeric_limits<int>::max();  // at one server; one is always allowed
+    double further = std::numeric_limits<double>::infinity();  // sends, counted from this node's start
+    Time until = std::numeric_limits<Time>::max();
+
+    int room(Time now, int out) const { return std::max(0, (now < until ? std::max(1, parts_out) : 1) - out); }
+    bool allows(Time now, double sent) const { return now < until && sent <= further; }
+};
+
 struct PeerWord {
     int from = 0;
     std::vector<std::uint8_t> text;
@@ -203,7 +214,7 @@
 };
 
 using Event = std::variant<ListNews, MultigetArrival, SecondStep, SendEnded, Probed, ClientLeft, Bell,
-                           ServerWord, DeadlyKey, PeerWord>;
+                           ServerWord, DeadlyKey, FleetShare, PeerWord>;
 
 // What is done about it.
 
@@ -258,6 +269,7 @@
     Time answered = 0;         // and when it last answered one
     Time started = 0;          // while it is cold; 0: it is warm
     std::uint64_t parts = 0;   // sent to it while cold
+    int parts_out = 0;
 };
 
 // One front node's decisions. Give it every turn's events in their order; carry out what it returns in order.
@@ -273,6 +285,7 @@
     std::vector<Action> turn(Time now, const std::vector<Event>& events);
     std::vector<ServerView> servers() const;  // as of the last turn, those listed
     std::vector<DeadlyKey> deadly_keys() const;  // found by this node
+    double further_sends() const;                // since its start
 
 private:
     struct Parts;
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -97,7 +97,12 @@
     std::vector<Action> actions;
     std::mt19937 chance;
     Time now = 0;
+    FleetShare share;         // of the fleet's limits; no limit unless told
+    double further_sent = 0;  // since the start
 
+    bool may_send_further(std::size_t more) const {
+        return share.allows(now, further_sent + static_cast<double>(more));
+    }
     void wake(ServerId id, bool due) {
         if (due) awake.insert(id);
         if (!due) awake.erase(id);
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -87,6 +87,9 @@
     // What other front nodes say of a server together; of one that is not listed it is passed over.
     void hear(const std::string& server, ServerWord word);
     void hear(DeadlyKey key) { happened(key); }
+    // What this node may use of limits that hold for all.
+    void hear(FleetShare share) { happened(share); }
+    double further_sends() const { return node_.further_sends(); }  // since its start
     std::vector<DeadlyKey> deadly_keys() const { return node_.deadly_keys(); }
     // As the decisions go by them, by the list's names.
     std::vector<std::pair<std::string, ServerView>> servers() const;
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -68,6 +68,8 @@
                most_clients(launch, descriptors_), keeper_ != nullptr, [this] { return print_counters(); },
                [this] { return exchange_.knows_servers(); }),
       reload_asked_(scheduler) {
+    if (limits_ && limits_->paces_connections())
+        servers_.pace_connections([this](net::Endpoint server) { return limits_->may_connect(server); });
     if (!peers_) return;
     share_ = std::make_unique<ListShare>(scheduler, list_, *peers_, log_, launch.name(), launch.seed());
     if (!installation.fleet.verdicts) return;
@@ -143,7 +145,7 @@
     const auto terms = settings.client_terms();
     try {
         return std::make_unique<LimitSide>(
-            scheduler_, recording_asker(), *peers_, log_, installation.fleet,
+            scheduler_, recording_asker(), exchange_, *peers_, log_, installation.fleet,
             LimitSide::Names{settings.tenant_names(), settings.op_type_names(), settings.node_place().front_nodes,
                              terms.retry_after ? terms.longest_retry_after : 0},
             launch_.seed());
--- a/src/service/limit_side.cpp
+++ b/src/service/limit_side.cpp
@@ -10,6 +10,8 @@
 namespace pinedoor::service {
 namespace {
 
+constexpr Time kLook = 1'000;  // between two looks at what others say, and at what the module does
+
 int index_of(const std::vector<std::string>& names, const std::string& name, const std::string& what) {
     if (name.empty()) return -1;
     const auto at = std::find(names.begin(), names.end(), name);
@@ -19,16 +21,34 @@
 
 }  // namespace
 
-LimitSide::LimitSide(net::Scheduler& scheduler, Asker& inner, peers::Carrier& carrier, Log& log,
+double LimitSide::Limit::need(Time now) {
+    switch (terms.of) {
+        case Of::kMultigets: return gate.need(now);
+        case Of::kFurtherSends: return 1 + further_demand.need(now);  // nobody sees what a share kept from going out
+        case Of::kConnections: return pace.need(now, may_use(now));
+        case Of::kPartsOut: return parts_out.need();
+    }
+    return 0;
+}
+
+std::string LimitSide::Limit::print_use() const {
+    if (terms.of == Of::kMultigets)
+        return "passed " + std::to_string(gate.passed()) + ", turned away " + std::to_string(gate.turned_away());
+    if (terms.of == Of::kConnections) return "put off " + std::to_string(pace.put_off());
+    return "in the module's hands";
+}
+
+LimitSide::LimitSide(net::Scheduler& scheduler, Asker& inner, Exchange& exchange, peers::Carrier& carrier, Log& log,
                      const fleet::FleetTerms& terms, Names names, std::uint64_t seed)
-    : scheduler_(scheduler), inner_(inner), carrier_(carrier), log_(log), longest_wait_(names.longest_wait),
+    : scheduler_(scheduler), inner_(inner), exchange_(exchange), carrier_(carrier), log_(log), longest_wait_(names.longest_wait),
       waiter_(scheduler) {
     const auto& self = carrier.membership().self();
     for (const auto& each : terms.limits) {
         const auto where = "fleet.limits " + each.name;
         limits_.push_back(std::unique_ptr<Limit>(new Limit{
             each, index_of(names.tenants, each.tenant, where + ".tenant"),
-            index_of(names.op_types, each.op_type, where + ".op_type"), {}, {}, fleet::Gate(each, ++seed), false}));
+            index_of(names.op_types, each.op_type, where + ".op_type"), {}, {}, fleet::Gate(each, ++seed),
+            fleet::ConnectionPace(each), {}, fleet::Bucket(each), {}, false}));
         auto& made = *limits_.back();
         if (each.kind == fleet::LimitTerms::Kind::kAbout)
             made.about.emplace(terms.about(each, names.nodes));
@@ -37,7 +57,12 @@
     }
 }
 
+bool LimitSide::limits(Of what) const {
+    return std::any_of(limits_.begin(), limits_.end(), [what](const auto& each) { return each->terms.of == what; });
+}
+
 void LimitSide::start() {
+    if (limits(Of::kPartsOut) || limits(Of::kFurtherSends)) tell_module(scheduler_.now());
     carrier_.watch([this](const peers::Changed&) { tell_members(); });
     carrier_.read_letters(fleet::kLeaseTopic,
                           [this](const std::string& from, const std::string& bytes) { take(from, bytes); });
@@ -58,11 +83,12 @@
 net::Task LimitSide::run() {
     for (;;) {
         if (scheduler_.now() >= about_at_) share_about(scheduler_.now());
-        Time due = about_at_;
+        if (scheduler_.now() >= tell_at_) tell_module(scheduler_.now());
+        Time due = std::min(about_at_, tell_at_);
         for (auto& each : limits_) {
             if (!each->leases) continue;
             const auto now = scheduler_.now();
-            each->leases->need(each->gate.need(now));
+            each->leases->need(each->need(now));
             if (now >= each->leases->due()) carry(each->leases->tick(now));
             due = std::min(due, each->leases->due());
             const bool owns = each->leases->owns(now);
@@ -75,7 +101,6 @@
 }
 
 void LimitSide::share_about(Time now) {
-    constexpr Time kLook = 1'000;  // between two looks at what others say
     about_at_ = net::kNever;
     caught_up_ = caught_up_ || !carrier_.gossip().behind();
     std::map<std::string, std::vector<double>> needs;  // of others, by limit
@@ -99,7 +124,7 @@
     Time lives = 0;
     for (auto& each : limits_) {
         if (!each->about) continue;
-        each->about->need(each->gate.need(now));
+        each->about->need(each->need(now));
         news = each->about->say(now).has_value() || news;
         said[each->terms.name] = each->about->said();
         lives = each->about->lives();
@@ -107,6 +132,43 @@
     if (news) carrier_.publish(fleet::kNeedsTopic, fleet::write_needs(said), lives);
 }
 
+// What it was told holds for a few looks, and no longer than the share that it goes by: a process that stood still must
+// not go on by it.
+void LimitSide::tell_module(Time now) {
+    FleetShare share;
+    share.until = now + 3 * kLook;
+    int most_out = 0;
+    if (limits(Of::kPartsOut)) {
+        for (const auto& [name, view] : exchange_.servers()) most_out = std::max(most_out, view.parts_out);
+    }
+    const double sent = exchange_.further_sends();
+    const double lately = sent - std::exchange(further_sent_, sent);
+    for (auto& each : limits_) {
+        const double may = each->may_use(now);
+        if (each->terms.of == Of::kPartsOut) {
+            each->parts_out.see(now, most_out);
+            share.parts_out = std::min(share.parts_out, static_cast<int>(std::min(may, 1e9)));
+        } else if (each->terms.of == Of::kFurtherSends) {
+            if (lately > 0) each->further_demand.came(now, lately);
+            each->further.take(lately);
+            share.further = std::min(share.further, sent + each->further.refill(now, may));
+        } else {
+            continue;
+        }
+        if (each->leases && each->leases->held_until() > now) share.until = std::min(share.until, each->leases->held_until());
+    }
+    exchange_.hear(share);
+    tell_at_ = now + kLook;
+}
+
+bool LimitSide::may_connect(net::Endpoint at) {
+    const auto now = scheduler_.now();
+    const auto server = std::uint64_t{at.address} << 16U | at.port;
+    return std::all_of(limits_.begin(), limits_.end(), [&](const auto& each) {
+        return each->terms.of != Of::kConnections || each->pace.may_open(now, server, each->may_use(now));
+    });
+}
+
 void LimitSide::carry(std::vector<fleet::SendLease> all) {
     for (auto& each : all) carrier_.send_letter(each.to, fleet::kLeaseTopic, fleet::write_lease(each.message));
 }
@@ -136,6 +198,7 @@
 std::pair<Asked, Ticket> LimitSide::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
     if (const auto could = inner_.could_take(asked.name); could != Asked::kTaken) return {could, 0};
     for (auto& each : limits_) {
+        if (each->terms.of != Of::kMultigets) continue;
         if (each->tenant >= 0 && each->tenant != asked.tenant) continue;
         if (each->op_type >= 0 && each->op_type != asked.op_type) continue;
         const auto now = scheduler_.now();
@@ -155,8 +218,9 @@
     std::string out;
     for (const auto& each : limits_) {
         char text[256];
-        std::snprintf(text, sizeof text, "%s %.6g a second, burst %.6g: here %.6g, ", each->terms.name.c_str(),
-                      each->terms.per_second, each->terms.burst, each->may_use(now));
+        std::snprintf(text, sizeof text, "%s, %s, %.6g%s, burst %.6g: here %.6g, ", each->terms.name.c_str(),
+                      fleet::name_of(each->terms.of), each->terms.per_second,
+                      each->terms.of == Of::kPartsOut ? " at once" : " a second", each->terms.burst, each->may_use(now));
         out += text;
         if (each->leases) {
             const auto owner = each->leases->owner().empty() ? "unknown" : each->leases->owner();
@@ -166,8 +230,7 @@
             std::snprintf(text, sizeof text, "about; said to need %.6g", each->about->said());
             out += text;
         }
-        out += "; passed " + std::to_string(each->gate.passed()) + ", turned away " +
-               std::to_string(each->gate.turned_away()) + '\n';
+        out += "; " + each->print_use() + '\n';
     }
     return out;
 }
@@ -177,8 +240,11 @@
     const auto now = scheduler_.now();
     for (const auto& each : limits_) {
         const auto name = "limit_" + each->terms.name + '_';
-        append_line(out, (name + "passed").c_str(), each->gate.passed());
-        append_line(out, (name + "turned_away").c_str(), each->gate.turned_away());
+        if (each->terms.of == Of::kMultigets) {
+            append_line(out, (name + "passed").c_str(), each->gate.passed());
+            append_line(out, (name + "turned_away").c_str(), each->gate.turned_away());
+        }
+        if (each->terms.of == Of::kConnections) append_line(out, (name + "put_off").c_str(), each->pace.put_off());
         append_line(out, (name + "share").c_str(), static_cast<std::uint64_t>(each->may_use(now)));
         if (!each->leases) continue;
         const auto& counts = each->leases->counts();
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -78,7 +78,7 @@
 }
 
 void ServerSide::assign(Server& server, std::vector<PartCall> calls) {
-    auto* connection = choose(server, calls.size());
+    const auto [connection, otherwise] = choose(server, calls.size());
     std::vector<SendKey> keys;
     for (auto& call : calls) {
         const SendKey key{call.part, call.send};
@@ -89,9 +89,8 @@
         sent.due = net::kNever;
         keys.push_back(key);
     }
-    if (connection == nullptr) {  // refused at once, or no descriptor is left
-        const bool refused = connections_ < most_connections_;
-        for (const auto& key : keys) end_send(key, refused ? Outcome::kNoConnection : Outcome::kNeverSent);
+    if (connection == nullptr) {
+        for (const auto& key : keys) end_send(key, otherwise);
         return;
     }
     for (const auto& key : keys) {
@@ -107,7 +106,7 @@
 // The fullest open connection with room, so that the others fall idle; one that is doubted takes nothing new,
 // lest a machine that vanished without word swallow part after part. A new one is opened only if none has
 // room.
-ServerSide::Connection* ServerSide::choose(Server& server, std::size_t parts) {
+ServerSide::Choice ServerSide::choose(Server& server, std::size_t parts) {
     Connection* best = nullptr;
     Connection* least = nullptr;
     const Time now = scheduler_.now();
@@ -127,16 +126,16 @@
         if (best == nullptr || rank(*connection) > rank(*best)) best = connection.get();
     }
     if (best != nullptr && best->up) counters_.add(Count::kReused);
-    if (best != nullptr) return best;
-    if (connections_ >= most_connections_) return least;
-    return open(server);
+    if (best != nullptr) return {best, Outcome::kNeverSent};
+    const bool may = connections_ < most_connections_ && (!may_open_ || may_open_(server.at));
+    return may ? open(server) : Choice{least, Outcome::kNeverSent};
 }
 
-ServerSide::Connection* ServerSide::open(Server& server) {
+ServerSide::Choice ServerSide::open(Server& server) {
     auto fd = net::connect_to(server.at);
     if (!fd) {
         counters_.add(Count::kConnectFailed);
-        return nullptr;
+        return {nullptr, Outcome::kNoConnection};
     }
     counters_.add(Count::kOpened);
     most_at_once_ = std::max(most_at_once_, ++connections_);
@@ -147,7 +146,7 @@
         if (failure) counters_.add(Count::kTasksThrew);
         finish(*at);
     });
-    return &connection;
+    return {&connection, Outcome::kNeverSent};
 }
 
 net::Task ServerSide::serve(Connection& connection) {
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -23,6 +24,8 @@
                std::vector<std::string> report_fields, int parts_per_call, int streams, Time connect_timeout,
                Time connection_idle, std::size_t most_connections);
 
+    // Before it starts: asked before each connection that is opened, and may say no.
+    void pace_connections(std::function<bool(net::Endpoint)> may_open) { may_open_ = std::move(may_open); }
     void start();
     void call(PartCall call) override;
     void flush() override;
@@ -87,8 +90,12 @@
     net::Task serve(Connection& connection);
     void look_at(const SendKey& key, Time now);
     void assign(Server& server, std::vector<PartCall> calls);
-    Connection* choose(Server& server, std::size_t parts);
-    Connection* open(Server& server);
+    struct Choice {
+        Connection* connection;  // null: none
+        Outcome otherwise;       // then: refused at once, or not to be had: no descriptor is left, or it is not this node's turn
+    };
+    Choice choose(Server& server, std::size_t parts);
+    Choice open(Server& server);
     net::Stream::Got read_frames(Connection& connection);
     bool take_result(Connection& connection, std::string_view rest);
     void take_spoilt(Connection& connection, std::string_view rest);
@@ -117,6 +124,7 @@
     const Time connect_timeout_;
     const Time idle_;
     const std::size_t most_connections_;
+    std::function<bool(net::Endpoint)> may_open_;  // empty: always
     std::size_t connections_ = 0;
     std::size_t most_at_once_ = 0;
     std::map<ServerId, Server> servers_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -189,10 +189,15 @@
 
     bool is_over() const { return entry.state == ServerState::kGone && out.empty(); }
     bool is_away() const { return standing == Standing::kAside || standing == Standing::kFailing; }
-    Card card(ServerId id) const {
+    ServerView view(ServerId id, bool cold) const {
+        const bool doubted = standing != Standing::kGood;
+        return {id, doubted, failed, answered, cold ? started : 0, cold_parts, static_cast<int>(out.size())};
+    }
+    Card card(ServerId id, int room) const {
         Card made{id, entry.place, entry.state == ServerState::kReady, is_over(), standing};
         made.calls_out = static_cast<int>(calls_out.size());
         made.parts_out = static_cast<int>(out.size());
+        made.room = room;
         made.credit = credit;
         made.wait = wait;
         made.wait_seen = wait_seen;
--- a/src/stated/installation.cpp
+++ b/src/stated/installation.cpp
@@ -164,10 +164,21 @@
             each.reject("name", "must be 1 to 32 characters without blanks");
         limit.tenant = each.text("tenant", "");
         limit.op_type = each.text("op_type", "");
-        limit.per_second = each.number("per_second", 0, 0, 1e9);
-        if (limit.per_second <= 0) each.reject("per_second", "is missing; write how many multigets a second all may take");
-        limit.burst = each.number("burst", limit.per_second / 10, 0, 1e9);
+        using Of = fleet::LimitTerms::Of;
+        const auto of = each.word("of", {"multigets", "further-sends", "connections", "parts-out"});
+        for (const auto what : {Of::kFurtherSends, Of::kConnections, Of::kPartsOut}) {
+            if (of == fleet::name_of(what)) limit.of = what;
+        }
+        if (limit.of != Of::kMultigets && !(limit.tenant + limit.op_type).empty())
+            each.reject(limit.tenant.empty() ? "op_type" : "tenant", "goes with a limit of multigets only");
+        const bool at_once = limit.of == Of::kPartsOut;
+        limit.per_second = each.number(at_once ? "at_once" : "per_second", 0, 0, 1e9);
+        if (limit.per_second <= 0)
+            each.reject(at_once ? "at_once" : "per_second", "is missing; write how many of them all front nodes together may have");
+        if (!at_once) limit.burst = each.number("burst", limit.per_second / 10, 0, 1e9);
         if (each.word("kind", {"never-over", "about"}) == "about") limit.kind = fleet::LimitTerms::Kind::kAbout;
+        if (at_once && limit.kind != fleet::LimitTerms::Kind::kAbout)
+            each.reject("kind", "must be \"about\" here: a part that is out outlives the share that it was sent by");
         each.finish();
         terms.limits.push_back(std::move(limit));
     }
--- /dev/null
+++ b/tests/fleet/gate_test.cpp
@@ -0,0 +1,128 @@
+// What a share of a limit lets through at one front node: gates, buckets for each server, what a node says that it needs.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "fleet/at_servers.hpp"
+#include "fleet/gate.hpp"
+#include "logic.hpp"
+
+namespace {
+
+using namespace pinedoor;
+
+constexpr Time kSecond = 10'000;
+
+TEST_CASE("a gate passes its share and one burst, saves nothing beyond, and says when to return, spread") {
+    fleet::LimitTerms terms;
+    terms.per_second = 100;
+    terms.burst = 20;
+    fleet::Gate gate(terms, 7);
+    int passed = 0;
+    Time now = kSecond;
+    for (int i = 0; i < 10'000; ++i, now += 10) passed += gate.pass(now, 25) ? 1 : 0;  // 10 s
+    CHECK(passed <= 25 * 10 + 5 + 1);
+    CHECK(passed >= 25 * 10 - 1);
+    now += 100 * kSecond;
+    int burst = 0;
+    while (gate.pass(now, 25)) ++burst;
+    CHECK(burst == 5);  // its quarter
+    CHECK(gate.need(now + 100 * kSecond) == 0);
+    Time least = kSecond, most = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto wait = gate.wait(2, 5'000);
+        least = std::min(least, wait);
+        most = std::max(most, wait);
+    }
+    CHECK(most <= 5'000);
+    CHECK(least >= 2'500);
+    CHECK(most - least > 1'000);
+}
+
+TEST_CASE("a share that grows begins with nothing saved for what it grew by, however long nothing came") {
+    fleet::LimitTerms terms;
+    terms.per_second = 100;
+    terms.burst = 20;
+    fleet::Gate gate(terms, 7);
+    Time now = kSecond;
+    const auto at_once = [&](double share) {
+        int passed = 0;
+        while (gate.pass(now, share)) ++passed;
+        return passed;
+    };
+    at_once(1);
+    now += 100 * kSecond;
+    CHECK(at_once(100) == 1);  // saved at a share of 1; it was 20
+    now += kSecond / 10;
+    CHECK(at_once(100) == 10);
+    now += 100 * kSecond;
+    CHECK(at_once(10) == 2);
+}
+
+TEST_CASE("what a node needs goes by what comes, and ends soon after it") {
+    fleet::LimitTerms terms;
+    terms.per_second = 100;
+    fleet::Gate gate(terms, 7);
+    Time now = kSecond;
+    for (int i = 0; i < 4'000; ++i, now += 10) gate.pass(now, 10);  // 4 s, 1,000 a second
+    CHECK(gate.need(now) > 1'200);
+    CHECK(gate.need(now + kSecond / 2) < 14);
+    CHECK(gate.need(now + 500 * kSecond) == 0);
+    for (int i = 0; i < 20; ++i, now += kSecond) gate.pass(now, 10);  // one a second is none that ends
+    CHECK(gate.need(now) > 1.5);
+}
+
+TEST_CASE("connections are paced at each server by its own, one is there at a start, and flapping gains nothing") {
+    fleet::LimitTerms terms;
+    terms.per_second = 8;
+    terms.burst = 4;
+    fleet::ConnectionPace pace(terms);
+    Time now = kSecond;
+    CHECK(pace.may_open(now, 1, 2));
+    CHECK(!pace.may_open(now, 1, 2));
+    CHECK(pace.may_open(now, 2, 2));  // another server
+    int opened = 0;
+    for (int i = 0; i < 1'000; ++i, now += 100) {  // 10 s of tries at one server, another look at all each time
+        opened += pace.may_open(now, 1, 2) ? 1 : 0;
+        pace.need(now, 2);
+    }
+    CHECK(opened >= 18);
+    CHECK(opened <= 20);
+    CHECK(pace.need(now, 2) > 100);
+    now += 60 * kSecond;
+    CHECK(pace.need(now, 2) == 0);  // and forgotten, with one saved as at a start
+    CHECK(pace.may_open(now, 1, 2));
+    CHECK(!pace.may_open(now, 1, 2));
+}
+
+TEST_CASE("a node asks for half more parts out than it had at the server where it had most, and lets go of them soon") {
+    fleet::PartsOut parts;
+    CHECK(parts.need() == 1);
+    parts.see(kSecond, 20);
+    CHECK(parts.need() == 31);
+    parts.see(2 * kSecond, 0);
+    CHECK(parts.need() == 16);
+    for (int i = 0; i < 20; ++i) parts.see((3 + i) * kSecond, 0);
+    CHECK(parts.need() < 1.01);
+}
+
+TEST_CASE("the module's share: one part at each server whatever it says, nothing by a share that is over, all without one") {
+    const FleetShare none;
+    CHECK(none.room(kSecond, 1'000'000) > 0);
+    CHECK(none.allows(kSecond, 1e18));
+    FleetShare share;
+    share.parts_out = 3;
+    share.further = 10;
+    share.until = 2 * kSecond;
+    CHECK(share.room(kSecond, 2) == 1);
+    CHECK(share.room(kSecond, 5) == 0);
+    CHECK(share.allows(kSecond, 10));
+    CHECK(!share.allows(kSecond, 11));
+    CHECK(share.room(2 * kSecond, 0) == 1);  // it slept
+    CHECK(share.room(2 * kSecond, 1) == 0);
+    CHECK(!share.allows(2 * kSecond, 1));
+    share.parts_out = 0;
+    CHECK(share.room(kSecond, 0) == 1);
+}
+
+}  // namespace
--- a/tests/fleet/limits_test.cpp
+++ b/tests/fleet/limits_test.cpp
@@ -6,7 +6,6 @@
 #include <string>
 
 #include "fleet/fault_text.hpp"
-#include "fleet/gate.hpp"
 #include "fleet/judged.hpp"
 #include "fleet/lease_text.hpp"
 
@@ -49,12 +48,12 @@
 )";
 
 struct Played {
-    LimitReader limit{kLimit, kBurst};
+    LimitReader limit;
     FleetTotals totals;
 };
 Played play_once(const std::string& faults, const World::Changes& changes, double more) {
     const auto world = FleetWorld::from_text(std::string(kFleet) + faults, "limits.toml", changes);
-    Played played;
+    Played played{{world.fleet.limit_per_second, world.fleet.limit_burst, world.fleet.limit_of}, {}};
     played.totals = play_fleet(world, {PINEDOOR_PROGRAM, 400, {}}, [&](const std::string& line) { played.limit.take(line); });
     MESSAGE("worst excess beyond rate and burst " << played.limit.worst_excess() << " of " << kNodes << " allowed; passed by second from 5 s "
                                   << played.limit.passed(5 * kSecond, 13 * kSecond) / 8);
@@ -125,6 +124,32 @@
     CHECK(played.limit.passed(9 * kSecond, 13 * kSecond) >= 4 * 60);
 }
 
+// Limits of what goes to servers. Without the limit: some 90 connections beyond, 70 parts out at once, 35 further sends beyond.
+TEST_CASE("servers flap, and connections to each are limited: never over, though each listing is another server") {
+    const auto played = play(trouble("flapping", 4, 10, "share = 0.5\nevery_ms = 600\nfor_ms = 200"),
+                             {{"fleet.limit.of", "\"connections\""}, {"fleet.limit.per_second", "4"}, {"fleet.limit.burst", "2"}},
+                             kNodes);  // one more for each start
+    CHECK(played.limit.worst_excess() > 0);  // it bit
+    if (!had_its_time(played.totals)) return;
+    CHECK(played.totals.totals.service() > 0.85);
+}
+
+TEST_CASE("servers are slow, and parts out at each are limited: within limit and one for each front node, also as one dies") {
+    const auto played = play(trouble("slow", 4, 10, "share = 1\nfactor = 150") + fault("kill", 6, 7, "nodes = [1, 4]"),
+                             {{"fleet.limit.of", "\"parts-out\""}, {"fleet.limit.per_second", "12"}, {"fleet.limit.burst", "0"},
+                              {"fleet.limit.about", "true"}, {"clients.0.retries", "2"}});
+    CHECK(played.limit.worst_excess() > -12 + 4);  // it bit
+}
+
+TEST_CASE("half of the servers hang, and further sends of all are limited: never over") {
+    const auto played = play(trouble("hang", 5, 10, "share = 0.5") + fault("kill", 7, 8, "nodes = [0, 4]"),
+                             {{"fleet.limit.of", "\"further-sends\""}, {"fleet.limit.per_second", "5"}, {"fleet.limit.burst", "5"},
+                              {"clients.0.retries", "2"}});
+    if (!had_its_time(played.totals)) return;
+    CHECK(played.limit.passed(5 * kSecond, 10 * kSecond) >= 5);  // and used
+    CHECK(played.totals.totals.service() > 0.9);
+}
+
 TEST_CASE("the checker finds what is over: the worst window, wherever it is") {
     const auto excess = [](const std::vector<Time>& at) {
         LimitReader reader(10, 2);
@@ -134,32 +159,14 @@
     CHECK(excess({0, 1'000, 2'000, 3'000}) == doctest::Approx(-1));
     CHECK(excess({0, 0, 0, 50'000, 60'000}) == doctest::Approx(1));
     CHECK(excess({0, 500, 1'000, 1'500, 2'000, 2'500}) == doctest::Approx(1.5));
-}
-
-TEST_CASE("a gate passes its share and one burst, saves nothing beyond, and says when to return, spread") {
-    fleet::LimitTerms terms;
-    terms.per_second = 100;
-    terms.burst = 20;
-    fleet::Gate gate(terms, 7);
-    int passed = 0;
-    Time now = kSecond;
-    for (int i = 0; i < 10'000; ++i, now += 10) passed += gate.pass(now, 25) ? 1 : 0;  // 10 s
-    CHECK(passed <= 25 * 10 + 5 + 1);
-    CHECK(passed >= 25 * 10 - 1);
-    now += 100 * kSecond;
-    int burst = 0;
-    while (gate.pass(now, 25)) ++burst;
-    CHECK(burst == 5);  // its quarter
-    CHECK(gate.need(now + 100 * kSecond) == 0);
-    Time least = kSecond, most = 0;
-    for (int i = 0; i < 100; ++i) {
-        const auto wait = gate.wait(2, 5'000);
-        least = std::min(least, wait);
-        most = std::max(most, wait);
+    LimitReader links(10, 2, "connections"), out(10, 0, "parts-out"), further(10, 2, "further-sends");
+    for (const auto* line : {"0 link 1", "0 link 2", "0 link 1", "0 link 1", "0 link 1", "5 holds 3 14", "6 holds 3 12",
+                             "0 send 7.0 node 0 server 1 number 0", "0 send 7.0 node 0 server 1 number 1"}) {
+        for (auto* each : {&links, &out, &further}) each->take(line);
     }
-    CHECK(most <= 5'000);
-    CHECK(least >= 2'500);
-    CHECK(most - least > 1'000);
+    CHECK(links.worst_excess() == doctest::Approx(2));
+    CHECK(out.worst_excess() == doctest::Approx(4));
+    CHECK(further.worst_excess() == doctest::Approx(-1));
 }
 
 // The tenant comes from nowhere with ten times its limit, to one front node, and goes on to the next each two seconds.
@@ -184,39 +191,6 @@
     CHECK(played.limit.passed(17 * kSecond, 19 * kSecond) >= 2 * 70);
 }
 
-TEST_CASE("a share that grows begins with nothing saved for what it grew by, however long nothing came") {
-    fleet::LimitTerms terms;
-    terms.per_second = 100;
-    terms.burst = 20;
-    fleet::Gate gate(terms, 7);
-    Time now = kSecond;
-    const auto at_once = [&](double share) {
-        int passed = 0;
-        while (gate.pass(now, share)) ++passed;
-        return passed;
-    };
-    at_once(1);
-    now += 100 * kSecond;
-    CHECK(at_once(100) == 1);  // saved at a share of 1; it was 20
-    now += kSecond / 10;
-    CHECK(at_once(100) == 10);
-    now += 100 * kSecond;
-    CHECK(at_once(10) == 2);
-}
-
-TEST_CASE("what a node needs goes by what comes, and ends soon after it") {
-    fleet::LimitTerms terms;
-    terms.per_second = 100;
-    fleet::Gate gate(terms, 7);
-    Time now = kSecond;
-    for (int i = 0; i < 4'000; ++i, now += 10) gate.pass(now, 10);  // 4 s, 1,000 a second
-    CHECK(gate.need(now) > 1'200);
-    CHECK(gate.need(now + kSecond / 2) < 14);
-    CHECK(gate.need(now + 500 * kSecond) == 0);
-    for (int i = 0; i < 20; ++i, now += kSecond) gate.pass(now, 10);  // one a second is none that ends
-    CHECK(gate.need(now) > 1.5);
-}
-
 TEST_CASE("a lease's message is read as it was written; what is none is refused") {
     fleet::LeaseMessage message;
     message.kind = fleet::LeaseMessage::Kind::kShare;
