--- a/src/lab/fleet/fleet_world.cpp
+++ b/src/lab/fleet/fleet_world.cpp
@@ -113,7 +113,8 @@
                                                  "term",           "discovery-down",  "discovery-busy",
                                                  "discovery-still", "discovery-anew", "links",
                                                  "reset",          "discovery-moves", "discovery-half",  "discovery-behind", "kill-foreign",
-                                                 "twin",           "clock",           "full",           "deaf",             "fails-kind"};
+                                                 "twin",           "clock",           "full",           "deaf",             "fails-kind",
+                                                 "deadly-kind"};
     return kNames;
 }
 
--- a/src/lab/fleet/fleet_world.hpp
+++ b/src/lab/fleet/fleet_world.hpp
@@ -32,7 +32,8 @@
         kClock,             // the wall clock jumps by `by_s`, and back at the end
         kFull,              // the folder's disk is full: no file grows beyond `quota_bytes`
         kDeaf,              // `servers` hear nothing from front nodes of `zone`, and seem to hang to these
-        kFailsKind          // `servers` fail each part of the clients numbered `client_kind`
+        kFailsKind,         // `servers` fail each part of the clients numbered `client_kind`
+        kDeadlyKind         // `servers` die as they begin such a part, and are back, cold, half a second later
     } kind = Kind::kKill;
     enum class Between { kDiscovery, kServers, kBoth, kPeers } between = Between::kBoth;
     enum class Way { kBoth, kThere, kBack } way = Way::kBoth;  // kThere: from the front node
@@ -41,8 +42,8 @@
     double share = 1;        // of the front nodes, where no numbers are stated
     std::vector<int> nodes;  // these
     int zone = -1;           // only front nodes of it; -1: any
-    std::vector<int> servers;      // kDeaf, kFailsKind; empty: `share` of them
-    int client_kind = 0;           // kFailsKind
+    std::vector<int> servers;      // kDeaf, kFailsKind, kDeadlyKind; empty: `share` of them
+    int client_kind = 0;           // kFailsKind, kDeadlyKind
     double by_s = 0;               // kClock
     double quota_bytes = 0;        // kFull
     // kPeers: `nodes` (or the share) are one group; what goes out of it there, what comes in back.
--- a/src/lab/fleet/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -63,6 +63,8 @@
         const auto& world = told.world;
         for (int i = 0; i < world.servers.count; ++i)
             servers_.push_back(std::make_unique<LiveServer>(scheduler_, agenda_, book_, i));
+        for (int i = 0; i < world.servers.count; ++i)
+            servers_[static_cast<std::size_t>(i)]->when_killed([this, i] { killed(i); });
         std::vector<net::Endpoint> at;
         for (int i = 0; i < world.nodes; ++i) {
             nodes_.push_back(std::make_unique<Node>(scheduler_, agenda_, desk_, i));
@@ -602,13 +604,12 @@
                 return;
             default: break;
         }
-        if (told.kind == Of::kDeaf || told.kind == Of::kFailsKind) {
+        if (told.kind == Of::kDeaf || told.kind == Of::kFailsKind || told.kind == Of::kDeadlyKind) {
             for (const int server : struck_servers(told_, index)) {
                 auto& struck = *servers_[static_cast<std::size_t>(server)];
-                if (told.kind == Of::kDeaf)
-                    struck.be_deaf_to(told.zone, begins);
-                else
-                    struck.fail_kind(told.client_kind, begins);
+                if (told.kind == Of::kDeaf) struck.be_deaf_to(told.zone, begins);
+                if (told.kind == Of::kFailsKind) struck.fail_kind(told.client_kind, begins);
+                if (told.kind == Of::kDeadlyKind) struck.die_by_kind(told.client_kind, begins);
             }
             return;
         }
@@ -618,6 +619,19 @@
         for (const int which : struck) befall(told, which, begins);
     }
 
+    // A part brought it down; it is started again.
+    void killed(int index) {
+        auto& server = *servers_[static_cast<std::size_t>(index)];
+        if (!server.condition().up()) return;
+        book_.say(agenda_.now(), "died " + std::to_string(index));
+        server.take_down(false);
+        spread(index);
+        agenda_.at(agenda_.now() + kSecond / 2, [this, index, &server] {
+            server.bring_up(false);
+            spread(index);
+        });
+    }
+
     void move_discovery(int which) {
         constexpr Time kOldCloses = 15'000;
         auto& mine = node(which);
--- a/src/lab/live/live_clients.cpp
+++ b/src/lab/live/live_clients.cpp
@@ -131,9 +131,14 @@
     std::string body = "{\"targets\":[";
     char text[96];
     for (const auto& part : asking.request.parts) {
-        std::snprintf(text, sizeof text, "%s{\"partition\":%d,\"share\":%.6f}", body.back() == '[' ? "" : ",",
+        std::snprintf(text, sizeof text, "%s{\"partition\":%d,\"share\":%.6f", body.back() == '[' ? "" : ",",
                       part.shard, part.weight);
         body += text;
+        if (part.key != 0) {
+            std::snprintf(text, sizeof text, ",\"route\":\"%016llx\"", static_cast<unsigned long long>(part.key));
+            body += text;
+        }
+        body += '}';
     }
     body += "],\"query\":\"lab\"}";
     return "POST /" + clients.name +
--- a/src/lab/live/live_server.cpp
+++ b/src/lab/live/live_server.cpp
@@ -194,6 +194,12 @@
     }
 }
 
+bool LiveServer::is_of(const std::multiset<int>& kinds, Job job) const {
+    if (kinds.empty()) return false;
+    const auto kind = book_.kinds.find(parts_.at(job).multiget);
+    return kinds.contains(kind == book_.kinds.end() ? 0 : kind->second);
+}
+
 void LiveServer::begin(Job job) {
     const auto& part = parts_.at(job);
     ++book_.totals.run;
@@ -202,6 +208,10 @@
     if (effect != book_.effects.end() &&
         ++book_.ran[std::to_string(effect->second) + '.' + std::to_string(part.shard)] > 1)
         ++book_.totals.run_twice;
+    if (is_of(dying_, job)) {
+        agenda_.at(agenda_.now(), [this] { killed_(); });
+        return;
+    }
     const auto work = condition_.work(book_.world, agenda_.now(), part.first_of_call, 0, book_.chance);
     agenda_.at(agenda_.now() + work, [this, job, era = era_] { worked(job, era); });
 }
@@ -209,8 +219,7 @@
 void LiveServer::worked(Job job, std::uint32_t era) {
     if (era != era_) return;
     const bool spoilt = condition_.spoilt > 0 && book_.chance.one() < condition_.spoilt;
-    const auto kind = failing_.empty() ? book_.kinds.end() : book_.kinds.find(parts_.at(job).multiget);
-    const bool fails = !failing_.empty() && failing_.contains(kind == book_.kinds.end() ? 0 : kind->second);
+    const bool fails = is_of(failing_, job);
     const bool error = fails || (condition_.errors > 0 && book_.chance.one() < condition_.errors);
     reply(job, spoilt ? "spoilt" : error ? "failed" : "done", "v" + parts_.at(job).id);
     for (auto next = model_.ended(); next; next = model_.ended()) {
@@ -264,6 +273,11 @@
     else if (const auto one = failing_.find(kind); one != failing_.end()) failing_.erase(one);
 }
 
+void LiveServer::die_by_kind(int kind, bool on) {
+    if (on) dying_.insert(kind);
+    else if (const auto one = dying_.find(kind); one != dying_.end()) dying_.erase(one);
+}
+
 void LiveServer::take_down(bool silently) {
     condition_.vanished += silently ? 1 : 0;
     if (++condition_.down > 1) return;
--- a/src/lab/live/live_server.hpp
+++ b/src/lab/live/live_server.hpp
@@ -61,6 +61,8 @@
     void begin_cold();  // it starts now, as after a loss of power
     void be_deaf_to(int zone, bool on);   // what front nodes of it send is lost; -1: of any
     void fail_kind(int kind, bool on);    // each part of these clients
+    void die_by_kind(int kind, bool on);  // as it begins one; whoever listens takes it down
+    void when_killed(std::function<void()> what) { killed_ = std::move(what); }
 
     std::uint64_t connections() const { return last_link_; }  // taken so far
     std::uint64_t most_connections_in_a_second() const { return most_in_a_second_; }
@@ -102,6 +104,7 @@
     void reply(Job job, const char* end, const std::string& value);
     Time travel(int zone);
     void note_in_hand(int more);
+    bool is_of(const std::multiset<int>& kinds, Job job) const;
 
     net::Scheduler& scheduler_;
     Agenda& agenda_;
@@ -110,7 +113,8 @@
     const int zone_;
     Condition condition_;
     std::vector<int> deaf_to_;    // zones, by so many faults
-    std::multiset<int> failing_;  // clients
+    std::multiset<int> failing_, dying_;  // clients
+    std::function<void()> killed_;
     ServerModel model_;
     std::uint32_t era_ = 0;
     int in_hand_ = 0, most_in_hand_ = 0;  // parts that front nodes wait for here; the most of a second
--- a/tests/fleet/verdicts_test.cpp
+++ b/tests/fleet/verdicts_test.cpp
@@ -51,6 +51,8 @@
     std::map<int, std::map<int, std::uint64_t>> sends;  // by server, by second
     std::map<int, std::map<int, std::uint64_t>> sends_late;  // from 6 s until 9 s: by front node, by server
     std::uint64_t asked = 0, whole = 0;
+    int deaths = 0;         // of servers, by a part
+    std::size_t told_key = 0;  // front nodes that were told the key of a multiget under which servers died
     double served() const { return static_cast<double>(whole) / static_cast<double>(asked); }
     double share(int from, int until) const { return reader.picks(from * kSecond, until * kSecond).share(); }
 };
@@ -60,11 +62,14 @@
     Played played;
     played.totals = play_fleet(world, {PINEDOOR_PROGRAM, 300, {}}, [&](const std::string& line) {
         played.reader.take(line);
+        played.told_key += line.find("event=deadly_key_told") != std::string::npos ? 1U : 0U;
         std::istringstream words(line);
         Time at = 0;
         std::string what, name, skipped;
         int node = 0, server = 0;
-        if (!(words >> at >> what >> name >> skipped >> node >> skipped >> server) || what != "send") return;
+        words >> at >> what;
+        played.deaths += what == "died" ? 1 : 0;
+        if (!(words >> name >> skipped >> node >> skipped >> server) || what != "send") return;
         ++played.sends[server][static_cast<int>(at / kSecond)];
         if (at >= 6 * kSecond && at < 9 * kSecond) ++played.sends_late[node][server];
     });
@@ -168,6 +173,23 @@
     CHECK(share > 0.05);
 }
 
+// A multiget that kills each server that begins a part of it is asked twice a second, now here, now there. Alone each front
+// node finds it out by several deaths of its own; told, most never send more than one part of it at a time.
+TEST_CASE("a multiget kills servers: its key is told to all, which kills fewer than each finding it out alone") {
+    int deaths[2] = {};
+    for (const bool told : {true, false}) {
+        const auto faults = fault("deadly-kind", 2, 12, "client_kind = 1") +
+                            "[[clients]]\nname = \"killer\"\nper_second = 2\nparts = 4\nkeys = 1\nlatency_budget_ms = 400\n"
+                            "route_timeout_ms = 1500\nretries = 0\n";
+        const auto played = play(faults, {{"fleet.verdicts", told ? "true" : "false"}});
+        if (!had_its_time(played.totals)) return;
+        deaths[told ? 1 : 0] = played.deaths;
+        if (told) CHECK(played.told_key >= 12);  // front nodes, of fifteen others
+    }
+    MESSAGE("servers died " << deaths[1] << " times, " << deaths[0] << " where the key was not told");
+    CHECK(deaths[1] < 0.7 * deaths[0]);  // 27 and 67 were seen
+}
+
 TEST_CASE("servers take turns at hanging while datagrams are lost, a third of the nodes is killed, one stands still") {
     std::string faults = fault("links", 3, 11, "between = \"peers\"\nnodes = [0, 2, 4, 6, 8, 10, 12, 14]\nlose = 0.3\ntwice = 0.2\nswap = 0.2") +
                          fault("kill", 4, 5, "nodes = [1, 4, 7, 10, 13]") + fault("stop", 5, 8, "nodes = [3]");
