--- a/tests/fleet/hard_cases_test.cpp
+++ b/tests/fleet/hard_cases_test.cpp
@@ -173,6 +173,19 @@
     CHECK(played.served() > 0.9);
 }
 
+// More is asked than cold servers bear, a third of it of one front node: their room is used, and never exceeded.
+TEST_CASE("all servers are cold, and one of ten front nodes has a third of the traffic") {
+    const auto played = play(trouble("shift", 0, 12, "share = 0.33\nzone = 0"),
+                             {{"zones", "10"}, {"servers.cores", "2"}, {"servers.part_ms", "{ exponential = 10 }"},
+                              {"servers.warm_after_ms", "8000"}, {"clients.0.per_second", "250"}, {"fleet.cold", "true"},
+                              {"fleet.start_within_ms", "100"}});
+    const double used = played.reader.nearest(Breach::Rule::kNoColdServerOver);
+    MESSAGE("of what a cold server bears, at the most " << used << " was sent");
+    if (!had_its_time(played.totals)) return;
+    CHECK(used < 1);
+    CHECK(used > 0.15);
+}
+
 // A third of the servers hang. Without the others' words a front node that starts sends them 14 % of its parts in its
 // first half second, one that never left 8 %.
 TEST_CASE("one that starts while servers hang is told so by the others before its clients find out") {
