--- a/tests/fleet/gate_test.cpp
+++ b/tests/fleet/gate_test.cpp
@@ -6,6 +6,8 @@
 #include "fleet/at_servers.hpp"
 #include "fleet/gate.hpp"
 #include "logic.hpp"
+#include "stated/installation.hpp"
+#include "stated/stated.hpp"
 
 namespace {
 
@@ -125,4 +127,26 @@
     CHECK(share.room(kSecond, 0) == 1);
 }
 
+TEST_CASE("limits of each kind are read; what cannot be is named by its key") {
+    const auto read = [](const std::string& limit) -> std::string {
+        try {
+            const auto made = stated::Installation::from_text(
+                "[peers]\non = true\nlisten = \"127.0.0.1:7946\"\n[fleet]\non = true\nvoters = [\"a\"]\n[[fleet.limits]]\nname = \"x\"\n" + limit,
+                "f.toml");
+            return fleet::name_of(made.fleet.limits.at(0).of);
+        } catch (const stated::BadStated& error) {
+            return error.what();
+        }
+    };
+    CHECK(read("per_second = 5\ntenant = \"t\"") == "multigets");
+    CHECK(read("of = \"connections\"\nper_second = 5") == "connections");
+    CHECK(read("of = \"further-sends\"\nper_second = 5") == "further-sends");
+    CHECK(read("of = \"parts-out\"\nat_once = 5\nkind = \"about\"") == "parts-out");
+    CHECK(read("of = \"parts-out\"\nat_once = 5").find("limits.kind") != std::string::npos);
+    CHECK(read("of = \"parts-out\"\nper_second = 5\nkind = \"about\"").find("limits.at_once") != std::string::npos);
+    CHECK(read("of = \"connections\"").find("limits.per_second") != std::string::npos);
+    CHECK(read("of = \"connections\"\nper_second = 5\ntenant = \"t\"").find("limits.tenant") != std::string::npos);
+    CHECK(read("of = \"sockets\"\nper_second = 5").find("limits.of") != std::string::npos);
+}
+
 }  // namespace
