Limits in even parts, alone: connections are paced without talk among front nodes too

Need: the pace of connections that a start may need was there with peers only. `kind = "alone"` gives each node its even part of any limit for good; [fleet] then needs no [peers].

--- a/src/fleet/terms.hpp
+++ b/src/fleet/terms.hpp
@@ -1,6 +1,7 @@
 // What an installation states of limits for the whole fleet; off unless [fleet] says on (deploy/fleet.toml).
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,7 @@
     // What is limited: multigets taken, further sends, new connections to each index server, or parts out at each.
     enum class Of { kMultigets, kFurtherSends, kConnections, kPartsOut } of = Of::kMultigets;
     std::string tenant, op_type;  // of multigets; empty: any
-    enum class Kind { kNeverOver, kAbout } kind = Kind::kNeverOver;
+    enum class Kind { kNeverOver, kAbout, kAlone } kind = Kind::kNeverOver;
     double per_second = 0;        // of parts out: at once
     double burst = 0;             // at most so many at once beyond it, all together
 };
@@ -37,6 +38,10 @@
     double drift = 0.01;
     Time late = 20'000;  // limits that hold about
     std::vector<LimitTerms> limits;
+    bool needs_peers() const {
+        return std::any_of(limits.begin(), limits.end(),
+                           [](const auto& each) { return each.kind != LimitTerms::Kind::kAlone; });
+    }
     bool verdicts = true;  // what members say of servers is said and heard, wherever there are peers
     WordTerms words;
 
--- a/src/lab/fleet/fleet_world.cpp
+++ b/src/lab/fleet/fleet_world.cpp
@@ -50,6 +50,7 @@
     terms.limit_burst = limit.number("burst", 0, 0, 1e6);
     terms.limit_of = limit.word("of", {"multigets", "further-sends", "connections", "parts-out"});
     terms.limit_about = limit.flag("about", false);
+    terms.limit_alone = limit.flag("alone", false);
     terms.late_ms = limit.number("late_ms", 2'000, 100, 600'000);
     terms.vote_ms = limit.number("vote_ms", 6'000, 100, 600'000);
     terms.lease_ms = limit.number("lease_ms", 3'000, 50, 600'000);
@@ -161,6 +162,7 @@
         << "\nperiod_ms = " << print(fleet.period_ms) << "\nrelayed = " << (fleet.relayed ? "true" : "false")
         << "\n\n[fleet.limit]\nper_second = " << print(fleet.limit_per_second)
         << "\nburst = " << print(fleet.limit_burst) << "\nof = \"" << fleet.limit_of << "\"\nabout = " << (fleet.limit_about ? "true" : "false")
+        << "\nalone = " << (fleet.limit_alone ? "true" : "false")
         << "\nlate_ms = " << print(fleet.late_ms) << "\nvote_ms = " << print(fleet.vote_ms)
         << "\nlease_ms = " << print(fleet.lease_ms) << "\nvoters = " << fleet.voters
         << "\n\n[fleet.discovery]\ncalls_per_second = " << print(fleet.discovery.per_second)
--- a/src/lab/fleet/fleet_world.hpp
+++ b/src/lab/fleet/fleet_world.hpp
@@ -63,7 +63,8 @@
     double limit_per_second = 0;  // multigets that all front nodes take together; 0: no limit
     double limit_burst = 0;
     std::string limit_of = "multigets";  // or what else deploy/fleet.toml has
-    bool limit_about = false;     // it holds about, and never over otherwise
+    bool limit_about = false;     // it holds about, and never over otherwise;
+    bool limit_alone = false;     // or each front node has its even part for good
     double late_ms = 2'000;       // then
     double vote_ms = 6'000, lease_ms = 3'000;  // of the limit's shares
     int voters = 3;                            // the first few front nodes
--- a/src/lab/fleet/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -289,7 +289,7 @@
             out << "\nat_once = " << fleet.limit_per_second << '\n';
         else
             out << "\nper_second = " << fleet.limit_per_second << "\nburst = " << fleet.limit_burst << '\n';
-        if (fleet.limit_about) out << "kind = \"about\"\n";
+        if (fleet.limit_about || fleet.limit_alone) out << "kind = \"" << (fleet.limit_about ? "about" : "alone") << "\"\n";
         return out.str();
     }
 
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -145,7 +145,7 @@
     const auto terms = settings.client_terms();
     try {
         return std::make_unique<LimitSide>(
-            scheduler_, recording_asker(), exchange_, *peers_, log_, installation.fleet,
+            scheduler_, recording_asker(), exchange_, peers_.get(), log_, installation.fleet,
             LimitSide::Names{settings.tenant_names(), settings.op_type_names(), settings.node_place().front_nodes,
                              terms.retry_after ? terms.longest_retry_after : 0},
             launch_.seed());
--- a/src/service/limit_side.cpp
+++ b/src/service/limit_side.cpp
@@ -38,22 +38,25 @@
     return "in the module's hands";
 }
 
-LimitSide::LimitSide(net::Scheduler& scheduler, Asker& inner, Exchange& exchange, peers::Carrier& carrier, Log& log,
+LimitSide::LimitSide(net::Scheduler& scheduler, Asker& inner, Exchange& exchange, peers::Carrier* carrier, Log& log,
                      const fleet::FleetTerms& terms, Names names, std::uint64_t seed)
     : scheduler_(scheduler), inner_(inner), exchange_(exchange), carrier_(carrier), log_(log), longest_wait_(names.longest_wait),
       waiter_(scheduler) {
-    const auto& self = carrier.membership().self();
     for (const auto& each : terms.limits) {
         const auto where = "fleet.limits " + each.name;
         limits_.push_back(std::unique_ptr<Limit>(new Limit{
             each, index_of(names.tenants, each.tenant, where + ".tenant"),
-            index_of(names.op_types, each.op_type, where + ".op_type"), {}, {}, fleet::Gate(each, ++seed),
+            index_of(names.op_types, each.op_type, where + ".op_type"), 0, {}, {}, fleet::Gate(each, ++seed),
             fleet::ConnectionPace(each), {}, fleet::Bucket(each), {}, false}));
         auto& made = *limits_.back();
-        if (each.kind == fleet::LimitTerms::Kind::kAbout)
-            made.about.emplace(terms.about(each, names.nodes));
-        else
-            made.leases.emplace(each.name, self.name, self.life, terms.leases(each, names.nodes), scheduler.now());
+        switch (each.kind) {
+            case fleet::LimitTerms::Kind::kAlone: made.part = each.per_second / names.nodes; break;
+            case fleet::LimitTerms::Kind::kAbout: made.about.emplace(terms.about(each, names.nodes)); break;
+            case fleet::LimitTerms::Kind::kNeverOver: {
+                const auto& self = carrier->membership().self();
+                made.leases.emplace(each.name, self.name, self.life, terms.leases(each, names.nodes), scheduler.now());
+            }
+        }
     }
 }
 
@@ -63,17 +66,21 @@
 
 void LimitSide::start() {
     if (limits(Of::kPartsOut) || limits(Of::kFurtherSends)) tell_module(scheduler_.now());
-    carrier_.watch([this](const peers::Changed&) { tell_members(); });
-    carrier_.read_letters(fleet::kLeaseTopic,
-                          [this](const std::string& from, const std::string& bytes) { take(from, bytes); });
-    carrier_.answer_to("limits", [this](std::string_view) { return print(); });
-    tell_members();
+    if (carrier_ != nullptr) talk();
     task_ = run();
     task_.start([this](std::exception_ptr failure) {
         if (failure) scheduler_.defer([failure] { std::rethrow_exception(failure); });
     });
 }
 
+void LimitSide::talk() {
+    carrier_->watch([this](const peers::Changed&) { tell_members(); });
+    carrier_->read_letters(fleet::kLeaseTopic,
+                          [this](const std::string& from, const std::string& bytes) { take(from, bytes); });
+    carrier_->answer_to("limits", [this](std::string_view) { return print(); });
+    tell_members();
+}
+
 void LimitSide::stop() {
     for (auto& each : limits_) {
         if (each->leases) carry(each->leases->leave(scheduler_.now()));
@@ -102,17 +109,18 @@
 
 void LimitSide::share_about(Time now) {
     about_at_ = net::kNever;
-    caught_up_ = caught_up_ || !carrier_.gossip().behind();
+    if (carrier_ == nullptr) return;
+    caught_up_ = caught_up_ || !carrier_->gossip().behind();
     std::map<std::string, std::vector<double>> needs;  // of others, by limit
     std::size_t members = 0;
     for (auto& each : limits_) {
         if (!each->about) continue;
         if (about_at_ == net::kNever) {
             std::map<std::string, bool> there;
-            for (const auto& claim : carrier_.membership().members()) there[claim.name] = true;
+            for (const auto& claim : carrier_->membership().members()) there[claim.name] = true;
             members = there.size();
-            for (const auto& fact : carrier_.gossip().facts(now, fleet::kNeedsTopic)) {
-                if (fact.origin == carrier_.membership().self().name || !there.contains(fact.origin)) continue;
+            for (const auto& fact : carrier_->gossip().facts(now, fleet::kNeedsTopic)) {
+                if (fact.origin == carrier_->membership().self().name || !there.contains(fact.origin)) continue;
                 for (const auto& [limit, need] : fleet::read_needs(fact.value)) needs[limit].push_back(need);
             }
             about_at_ = now + kLook;
@@ -129,7 +137,7 @@
         said[each->terms.name] = each->about->said();
         lives = each->about->lives();
     }
-    if (news) carrier_.publish(fleet::kNeedsTopic, fleet::write_needs(said), lives);
+    if (news) carrier_->publish(fleet::kNeedsTopic, fleet::write_needs(said), lives);
 }
 
 // What it was told holds for a few looks, and no longer than the share that it goes by: a process that stood still must
@@ -170,7 +178,7 @@
 }
 
 void LimitSide::carry(std::vector<fleet::SendLease> all) {
-    for (auto& each : all) carrier_.send_letter(each.to, fleet::kLeaseTopic, fleet::write_lease(each.message));
+    for (auto& each : all) carrier_->send_letter(each.to, fleet::kLeaseTopic, fleet::write_lease(each.message));
 }
 
 void LimitSide::take(const std::string& from, const std::string& bytes) {
@@ -186,7 +194,7 @@
 
 void LimitSide::tell_members() {
     std::vector<std::string> names;
-    for (const auto& claim : carrier_.membership().members()) {
+    for (const auto& claim : carrier_->membership().members()) {
         names.push_back(claim.name);  // suspects too: they are members until they are found dead
     }
     for (auto& each : limits_) {
@@ -226,9 +234,11 @@
             const auto owner = each->leases->owner().empty() ? "unknown" : each->leases->owner();
             std::snprintf(text, sizeof text, "lent out %.6g, ", each->leases->lent(now));
             out += text + (each->leases->owns(now) ? std::string("owned here") : "owner " + owner);
-        } else {
+        } else if (each->about) {
             std::snprintf(text, sizeof text, "about; said to need %.6g", each->about->said());
             out += text;
+        } else {
+            out += "alone";
         }
         out += "; " + each->print_use() + '\n';
     }
--- a/src/service/limit_side.hpp
+++ b/src/service/limit_side.hpp
@@ -1,7 +1,7 @@
 // Limits of the whole fleet. Of multigets, in front of the exchange: what a limit turns away is pushed back at once, before
 // anything is sent. Of further sends and of parts out at a server: the module is told what this node's share allows, and
 // decides with it. Of connections: the server side asks before it opens one. Shares are lent among members (fleet/leases), or
-// worked out from what all say that they need (fleet/about).
+// worked out from what all say that they need (fleet/about); or each node has its even part for good, and says nothing to others.
 #pragma once
 
 #include <map>
@@ -26,8 +26,9 @@
         int nodes = 1;
         Time longest_wait = 0;  // 0: nobody is told when to return
     };
-    // Throws std::invalid_argument if a limit names a tenant or an op type that is none.
-    LimitSide(net::Scheduler& scheduler, Asker& inner, Exchange& exchange, peers::Carrier& carrier, Log& log,
+    // `carrier`: null where no limit needs others. Throws std::invalid_argument if a limit names a tenant or an op type that is
+    // none.
+    LimitSide(net::Scheduler& scheduler, Asker& inner, Exchange& exchange, peers::Carrier* carrier, Log& log,
               const fleet::FleetTerms& terms, Names names, std::uint64_t seed);
 
     void start();
@@ -44,7 +45,8 @@
     struct Limit {
         fleet::LimitTerms terms;
         int tenant = -1, op_type = -1;  // -1: any
-        std::optional<fleet::Leases> leases;     // one of these two
+        double part = 0;                         // even, for good; or one of these two
+        std::optional<fleet::Leases> leases;
         std::optional<fleet::AboutShare> about;
         fleet::Gate gate;  // one of these, by what is limited
         fleet::ConnectionPace pace;
@@ -52,13 +54,14 @@
         fleet::Bucket further;
         fleet::Demand further_demand;
         bool owned = false;
-        double may_use(Time now) { return leases ? leases->may_use(now) : about->may_use(now); }
+        double may_use(Time now) { return leases ? leases->may_use(now) : about ? about->may_use(now) : part; }
         double need(Time now);
         std::string print_use() const;
     };
     bool limits(Of what) const;
 
     net::Task run();
+    void talk();
     void carry(std::vector<fleet::SendLease> all);
     void take(const std::string& from, const std::string& bytes);
     void tell_members();
@@ -69,7 +72,7 @@
     net::Scheduler& scheduler_;
     Asker& inner_;
     Exchange& exchange_;
-    peers::Carrier& carrier_;
+    peers::Carrier* const carrier_;
     Log& log_;
     const Time longest_wait_;
     std::vector<std::unique_ptr<Limit>> limits_;
--- a/src/stated/installation.cpp
+++ b/src/stated/installation.cpp
@@ -142,7 +142,6 @@
 
 void read_fleet(TomlTable table, bool peers, fleet::FleetTerms& terms) {
     terms.on = table.flag("on", false);
-    if (terms.on && !peers) table.reject("on", "needs [peers]: shares are lent among front nodes that know each other");
     terms.voters = table.texts("voters");
     terms.floors = table.number("floors", terms.floors, 0, 1);
     terms.vote = time(table, "vote_ms", terms.vote, 100, 600'000);
@@ -176,18 +175,23 @@
         if (limit.per_second <= 0)
             each.reject(at_once ? "at_once" : "per_second", "is missing; write how many of them all front nodes together may have");
         if (!at_once) limit.burst = each.number("burst", limit.per_second / 10, 0, 1e9);
-        if (each.word("kind", {"never-over", "about"}) == "about") limit.kind = fleet::LimitTerms::Kind::kAbout;
-        if (at_once && limit.kind != fleet::LimitTerms::Kind::kAbout)
-            each.reject("kind", "must be \"about\" here: a part that is out outlives the share that it was sent by");
+        using Kind = fleet::LimitTerms::Kind;
+        const auto kind = each.word("kind", {"never-over", "about", "alone"});
+        limit.kind = kind == "about" ? Kind::kAbout : kind == "alone" ? Kind::kAlone : Kind::kNeverOver;
+        if (at_once && limit.kind == Kind::kNeverOver)
+            each.reject("kind", "must be \"about\" or \"alone\" here: a part that is out outlives the share that it was sent by");
         each.finish();
         terms.limits.push_back(std::move(limit));
     }
-    const auto about = static_cast<std::size_t>(
-        std::count_if(terms.limits.begin(), terms.limits.end(),
-                      [](const auto& each) { return each.kind == fleet::LimitTerms::Kind::kAbout; }));
-    if (about > fleet::kMostAbout) table.reject("limits", "are over twenty that hold about");
+    const auto count = [&terms](fleet::LimitTerms::Kind kind) {
+        return static_cast<std::size_t>(std::count_if(terms.limits.begin(), terms.limits.end(),
+                                                      [kind](const auto& each) { return each.kind == kind; }));
+    };
+    if (count(fleet::LimitTerms::Kind::kAbout) > fleet::kMostAbout) table.reject("limits", "are over twenty that hold about");
+    if (terms.on && !peers && terms.needs_peers())
+        table.reject("on", "needs [peers] but for limits of kind \"alone\": shares go among front nodes that know each other");
     const auto voters = terms.voters.size();
-    if (terms.on && (about < terms.limits.size() || voters > 0) && (voters % 2 == 0 || voters > 7))
+    if (terms.on && (count(fleet::LimitTerms::Kind::kNeverOver) > 0 || voters > 0) && (voters % 2 == 0 || voters > 7))
         table.reject("voters", "must be 1, 3, 5 or 7 names of front nodes, the same at all");
     table.finish();
 }
--- a/tests/fleet/gate_test.cpp
+++ b/tests/fleet/gate_test.cpp
@@ -128,10 +128,10 @@
 }
 
 TEST_CASE("limits of each kind are read; what cannot be is named by its key") {
-    const auto read = [](const std::string& limit) -> std::string {
+    const auto read = [](const std::string& limit, bool peers = true) -> std::string {
         try {
             const auto made = stated::Installation::from_text(
-                "[peers]\non = true\nlisten = \"127.0.0.1:7946\"\n[fleet]\non = true\nvoters = [\"a\"]\n[[fleet.limits]]\nname = \"x\"\n" + limit,
+                std::string(peers ? "[peers]\non = true\nlisten = \"127.0.0.1:7946\"\n" : "") + "[fleet]\non = true\nvoters = [\"a\"]\n[[fleet.limits]]\nname = \"x\"\n" + limit,
                 "f.toml");
             return fleet::name_of(made.fleet.limits.at(0).of);
         } catch (const stated::BadStated& error) {
@@ -146,6 +146,8 @@
     CHECK(read("of = \"parts-out\"\nper_second = 5\nkind = \"about\"").find("limits.at_once") != std::string::npos);
     CHECK(read("of = \"connections\"").find("limits.per_second") != std::string::npos);
     CHECK(read("of = \"connections\"\nper_second = 5\ntenant = \"t\"").find("limits.tenant") != std::string::npos);
+    CHECK(read("of = \"connections\"\nper_second = 5\nkind = \"alone\"", false) == "connections");
+    CHECK(read("of = \"connections\"\nper_second = 5\nkind = \"about\"", false).find("fleet.on") != std::string::npos);
     CHECK(read("of = \"sockets\"\nper_second = 5").find("limits.of") != std::string::npos);
 }
 
--- a/tests/fleet/limits_test.cpp
+++ b/tests/fleet/limits_test.cpp
@@ -135,6 +135,16 @@
     CHECK(played.totals.totals.service() > 0.85);
 }
 
+TEST_CASE("the same without peers: each front node paces its connections by its even part alone") {
+    const auto played = play(trouble("flapping", 4, 10, "share = 0.5\nevery_ms = 600\nfor_ms = 200"),
+                             {{"fleet.limit.of", "\"connections\""}, {"fleet.limit.per_second", "4"}, {"fleet.limit.burst", "2"},
+                              {"fleet.limit.alone", "true"}, {"fleet.peers", "false"}},
+                             kNodes);
+    if (!had_its_time(played.totals)) return;
+    CHECK(played.limit.worst_excess() > 0);
+    CHECK(played.totals.totals.service() > 0.85);
+}
+
 TEST_CASE("servers are slow, and parts out at each are limited: within limit and one for each front node, also as one dies") {
     const auto played = play(trouble("slow", 4, 10, "share = 1\nfactor = 150") + fault("kill", 6, 7, "nodes = [1, 4]"),
                              {{"fleet.limit.of", "\"parts-out\""}, {"fleet.limit.per_second", "12"}, {"fleet.limit.burst", "0"},
