A twin that does not end counts as a bad end

The rig looks for a twin's end now and then since it no longer stands still for it; one that never ended was then killed without a word. It is told to end with the others, and waited for.

--- a/src/lab/fleet/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -145,8 +145,10 @@
         for (const auto& each : nodes_) {
             if (each->stopped > 0) each->process.signal(SIGCONT);  // by a fault of ours, not by itself
             each->process.signal(SIGTERM);
+            each->twin.signal(SIGTERM);
         }
         for (const auto& each : nodes_) {
+            if (each->twin.runs()) totals.bad_exits += each->twin.wait_or_kill(kPatienceMs) == 0 ? 0 : 1;
             // One that a fault had ended, and nobody started again, has not ended badly.
             if (each->process.runs()) totals.bad_exits += each->process.wait_or_kill(kPatienceMs) == 0 ? 0 : 1;
             totals.node_cpu_seconds += each->process.cpu();
