--- a/src/service/limit_side.cpp
+++ b/src/service/limit_side.cpp
@@ -76,7 +76,7 @@
 void LimitSide::talk() {
     carrier_->watch([this](const peers::Changed&) { tell_members(); });
     carrier_->read_letters(fleet::kLeaseTopic,
-                          [this](const std::string& from, const std::string& bytes) { take(from, bytes); });
+                           [this](const std::string& from, const std::string& bytes) { take(from, bytes); });
     carrier_->answer_to("limits", [this](std::string_view) { return print(); });
     tell_members();
 }
