The module's share of the fleet's limits, in short traces: parts out at a server, further sends, its end

Four parts go where two a server are allowed, the fifth multiget is pushed back at once with a time to return; past the share's end one a server goes; nothing is sent again beyond the share.

--- a/tests/fleet/words_test.cpp
+++ b/tests/fleet/words_test.cpp
@@ -273,4 +273,34 @@
     CHECK(s.trace().find("send 201 to") != std::string::npos);
 }
 
+// Limits of the whole fleet: what this node may use of them, and one part a server whatever it is told.
+TEST_CASE("a server that has all parts this node's share allows is not picked; a share that is over allows one") {
+    Script s;
+    s.list("A0 B1").play({FleetShare{2, 100, 10'000}}).quietly();
+    for (Id id = 1; id <= 5; ++id) s.arrive(id, kWholly, {1}, 0);
+    const auto count = [&s] {
+        const auto text = s.trace();
+        std::size_t sends = 0;
+        for (auto at = text.find("send "); at != std::string::npos; at = text.find("send ", at + 1)) ++sends;
+        return sends;
+    };
+    CHECK(count() == 4);
+    CHECK(s.trace().find("push back 5 for") != std::string::npos);  // at once, with a time to return
+    for (Id id = 1; id <= 4; ++id) s.end({id * 100});
+    s.pass(1'100).quietly();  // past the share's end
+    for (Id id = 6; id <= 8; ++id) s.arrive(id, kWholly, {1}, 0);
+    CHECK(count() == 2);
+}
+
+TEST_CASE("nothing is sent again beyond this node's share of the fleet's further sends") {
+    Script s;
+    s.list("A0 B1").play({FleetShare{100, 0, 100'000}}).arrive(1, kWholly, {1}, 0).quietly();
+    s.end({100}, Outcome::kError).pass(10);
+    CHECK(s.trace().find("send") == std::string::npos);
+    s.quietly().play({FleetShare{100, 1, 100'000}}).pass(10);
+    CHECK(s.trace().find("send 100 to") != std::string::npos);
+    s.quietly().end({100}, Outcome::kError).pass(10);  // the one is used
+    CHECK(s.trace().find("send") == std::string::npos);
+}
+
 }  // namespace
