--- a/src/peers/carrier.cpp
+++ b/src/peers/carrier.cpp
@@ -218,6 +218,7 @@
     auto fd = links_.size() < kMostLinks ? net::connect_to(to_endpoint(exchange.with)) : net::Fd{};
     if (!fd) {
         ++counts_.exchanges_failed;
+        act(membership_.exchange_failed(scheduler_.now()));
         return;
     }
     start_link(std::move(fd), &Carrier::ask_for_state);
@@ -311,6 +312,7 @@
         co_await waiter.wait(net::kRead | (written < ours.size() ? unsigned{net::kWrite} : 0U), until);
     }
     ++counts_.exchanges_failed;
+    act(membership_.exchange_failed(scheduler_.now()));
 }
 
 net::Task Carrier::give_state(Link& link) {
--- a/src/peers/decide.cpp
+++ b/src/peers/decide.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kMostForOthers = 256;
 constexpr std::size_t kClaimOverhead = 48;  // bytes on the wire beside names, at most
 constexpr int kTellsOfLeaving = 5;
+constexpr Time kMostLonely = 16;  // periods until one that is alone asks a seed again, at most
 
 int rank(Standing standing) { return static_cast<int>(standing); }
 
@@ -370,6 +371,19 @@
     return std::exchange(actions_, {});
 }
 
+// Who starts with its seeds may be a moment before them, and is refused: it need not wait as for one that is slow. Of ten
+// that started within 100 ms some stayed alone for a second, and all waited for them.
+std::vector<Action> Membership::exchange_failed(Time now) {
+    constexpr Time kSooner = 16;  // so many times sooner, and doubling with each try as well
+    last_ = std::max(last_, now);
+    if (living_.empty() && !leaving_) {
+        const Time span = std::max<Time>(2, terms_.period / kSooner * std::min(kMostLonely * kSooner, Time{1} << std::min(lonely_tries_ - 1, 8)));
+        exchange_at_ = std::min(exchange_at_, now + span / 2 + static_cast<Time>(below(static_cast<std::size_t>(span / 2) + 1)));
+    }
+    set_due();
+    return std::exchange(actions_, {});
+}
+
 std::vector<Claim> Membership::state() const {
     std::vector<Claim> all{self_};
     for (const auto& [name, known] : known_) all.push_back(known.claim);
@@ -501,7 +515,6 @@
 // taken for dead, so that islands that formed apart, or were cut apart, find each other. One that is alone
 // asks its seeds, ever more slowly.
 void Membership::exchange(Time now) {
-    constexpr Time kMostLonely = 16;  // periods
     constexpr int kFirstExchanges = 3;
     constexpr Time kStateOf = 50;  // so many members' state is as much as a few seconds' probes
     const auto jitter = [this](Time most) { return static_cast<Time>(below(static_cast<std::size_t>(most) + 1)); };
@@ -517,7 +530,7 @@
     }
     const auto member = some_members(1, "");
     if (member.empty()) {
-        const Time span = terms_.period * std::min<Time>(kMostLonely, Time{1} << std::min(lonely_tries_, 4));
+        const Time span = terms_.period * std::min(kMostLonely, Time{1} << std::min(lonely_tries_, 4));
         ++lonely_tries_;
         exchange_at_ = now + span / 2 + jitter(span / 2);
     } else {
--- a/src/peers/list_source.hpp
+++ b/src/peers/list_source.hpp
@@ -30,7 +30,7 @@
 struct ListSourceTerms {
     int holders = 2;       // members that ask discovery
     int fan_out = 16;      // members that have the list from one
-    Time settle = 10'000;  // hardly anybody came or went for so long
+    Time settle = 6'000;  // hardly anybody came or went for so long
     Time most_settle = 60'000;
     Time level = 4'000;    // a level of the tree is given to get the list before the next one asks it
     Time again = 3'000;    // after a call that ended, at least half of it, doubling with each on end
--- a/tests/peers/membership_test.cpp
+++ b/tests/peers/membership_test.cpp
@@ -21,6 +21,17 @@
     CHECK(fleet.largest < 1'400);
 }
 
+// Guards starts: those that were refused stayed alone for up to a second, and the others had to wait for them.
+TEST_CASE("ten members that start a moment before their seed know each other soon after it") {
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        SimulatedPeers peers(10, seed);
+        for (int i = 1; i < 10; ++i) peers.start(i);
+        peers.run(1'000);
+        peers.start(0);
+        CHECK(peers.run_until(4'000, [&] { return peers.all_know(10); }));
+    }
+}
+
 TEST_CASE("a death is known everywhere within its bound, a leaving sooner, and neither is forgotten or undone") {
     SimulatedPeers fleet(30, 2);
     fleet.start_all();
