--- a/src/lab/fleet/fleet_world.cpp
+++ b/src/lab/fleet/fleet_world.cpp
@@ -34,6 +34,7 @@
     FleetTerms terms;
     terms.start_within = time(table, "start_within_ms", -0.1, -0.1, 600'000);
     terms.known = table.number("known", 1, 0, 1);
+    terms.known_age = time(table, "known_age_ms", -0.1, -0.1, 1e9);
     terms.known_gone = table.number("known_gone", 0, 0, 1);
     terms.store = table.flag("store", false);
     terms.cold = table.flag("cold", false);
@@ -154,7 +155,8 @@
     static const char* const kWays[] = {"both", "there", "back"};
     std::ostringstream out;
     out << world.to_toml() << "\n[fleet]\nstart_within_ms = " << print(static_cast<double>(fleet.start_within) / 10)
-        << "\nknown = " << print(fleet.known) << "\nknown_gone = " << print(fleet.known_gone)
+        << "\nknown = " << print(fleet.known) << "\nknown_age_ms = " << print(static_cast<double>(fleet.known_age) / 10)
+        << "\nknown_gone = " << print(fleet.known_gone)
         << "\nstore = " << (fleet.store ? "true" : "false")
         << "\ncold = " << (fleet.cold ? "true" : "false")
         << "\npeers = " << (fleet.peers ? "true" : "false") << "\nverdicts = " << (fleet.verdicts ? "true" : "false") << "\nliars = " << fleet.liars << "\nseeds = " << fleet.seeds
--- a/src/lab/fleet/fleet_world.hpp
+++ b/src/lab/fleet/fleet_world.hpp
@@ -55,6 +55,7 @@
 struct FleetTerms {
     Time start_within = -1;  // all front nodes start within it, at the world's begin; below 0: they are up before
     double known = 1;        // share of the front nodes that know a list at their start; the others know none
+    Time known_age = -1;     // of such a list, told with it; -1: not told
     double known_gone = 0;   // share of the servers in such a list that are others by now, at other addresses
     bool store = false;      // each front node keeps a store of record in its folder
     bool cold = false;       // all servers start at the world's begin
--- a/src/lab/fleet/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -219,7 +219,10 @@
             old.name = "old-" + old.name;
             old.at = nowhere_.at();
         }
-        return list_text(1, true, all);
+        auto text = list_text(1, true, all);
+        if (told_.fleet.known_age < 0) return text;
+        text.insert(text.size() - 1, ",\"saved_unix_ms\":" + std::to_string((scheduler_.now() - told_.fleet.known_age) / 10));
+        return text;
     }
 
     Node& node(int which) { return *nodes_[static_cast<std::size_t>(which)]; }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -49,7 +49,8 @@
             ask_at_ = post_.now + least / 2 + post_.random_part(std::max(least, span_));
             return;
         }
-        if (news.kind != ListKind::kSaved) watching_ = true;
+        watching_ |= news.kind != ListKind::kSaved;
+        ask_within_ = std::max(terms_.must_ask_in / 4, watching_ ? 0 : terms_.must_ask_in - news.age);
         for (const auto& entry : listed_.apply(news)) post_.tell(entry);
         post_.pulse.push_back(Fleet{listed_.count_ready()});
     }
@@ -58,8 +59,8 @@
     // Guards discovery: all front nodes start together after a loss of power, and all watches end together
     // when it does. Who must be asked within a stated time is taken to serve a hundred calls in it: those of
     // all nodes are spread at random over half of what that takes, and over more once some are refused. While
-    // a list is held, it must not grow old.
-    Time first_span() const { return listed_.empty() ? fleet_ : std::min(fleet_, terms_.must_ask_in / 4); }
+    // a list is held, it must not grow old: the older it is at the start, the sooner discovery is asked.
+    Time first_span() const { return listed_.empty() ? fleet_ : std::min(fleet_, ask_within_); }
 
     static constexpr int kServed = 200;  // calls, in twice the stated time
 
@@ -68,8 +69,7 @@
     const Time fleet_;
     ListState listed_;
     bool watching_ = false;
-    Time span_ = 0;
-    Time ask_at_ = 0;
+    Time span_ = 0, ask_within_ = 0, ask_at_ = 0;
 };
 
 class IndexServer {
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -125,6 +125,8 @@
 struct ListNews {
     ListKind kind = ListKind::kFailed;
     std::vector<ListEntry> entries;
+    static constexpr Time kOld = 1'000'000'000;
+    Time age = kOld;  // kSaved: since it was known to hold, if that is told
 };
 
 struct PartArrival {
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -140,7 +140,15 @@
         const auto word = source_ == discovery_ ? ListKeeper::Word{} : word_in(list);
         keeper_->came(revision_, kind == ListKind::kFull, read, word);
     }
-    exchange_.list_news(saved ? ListKind::kSaved : kind, std::move(read));
+    if (!saved) {
+        exchange_.list_news(kind, std::move(read));
+        return true;
+    }
+    // Whoever keeps it for this node's starts may say when it was known to hold, by the wall clock.
+    const auto* held = list.member("saved_unix_ms");
+    const bool told = held != nullptr && held->number() != nullptr;
+    const Time age = told ? scheduler_.now() - static_cast<Time>(std::clamp(held->number()->value, 0.0, kMostMs) * 10) : -1;
+    exchange_.list_news(ListKind::kSaved, std::move(read), age < 0 ? ListNews::kOld : std::min(age, ListNews::kOld));
     return true;
 }
 
