What several limits speak of passes all or takes from none: a tenant over its own left nothing to others

Cause, in LimitSide::ask and may_connect: limits were asked one after the other, and each took its token before the next one refused.

--- a/src/fleet/at_servers.cpp
+++ b/src/fleet/at_servers.cpp
@@ -17,6 +17,11 @@
     return true;
 }
 
+bool ConnectionPace::has_room(Time now, std::uint64_t server, double share) {
+    const auto at = servers_.find(server);
+    return at == servers_.end() || at->second.bucket.refill(now, share) >= 1;
+}
+
 double ConnectionPace::need(Time now, double share) {
     double most = 0;
     for (auto at = servers_.begin(); at != servers_.end();) {
--- a/src/fleet/at_servers.hpp
+++ b/src/fleet/at_servers.hpp
@@ -20,6 +20,7 @@
     // `server`: by its address, which stays while it leaves the list and returns. Guards against a server that flaps: it is
     // listed as another each time, and would be met by all front nodes at once each time.
     bool may_open(Time now, std::uint64_t server, double share);
+    bool has_room(Time now, std::uint64_t server, double share);  // and takes nothing
     double need(Time now, double share);  // at the server that needs most
     std::uint64_t put_off() const { return put_off_; }
 
--- a/src/fleet/gate.hpp
+++ b/src/fleet/gate.hpp
@@ -7,6 +7,8 @@
 
 #include <cstdint>
 #include <random>
+#include <utility>
+#include <vector>
 
 #include "fleet/terms.hpp"
 
@@ -51,6 +53,7 @@
     // Whether one more may pass, at a share of so many a second; if not, after how long to return: between half of
     // and the whole time until as many as are turned away now could pass.
     bool pass(Time now, double share);
+    bool has_room(Time now, double share) { return bucket_.refill(now, share) >= 1; }  // and takes nothing
     Time wait(double share, Time most);
     double need(Time now) { return demand_.need(now); }
 
@@ -66,4 +69,9 @@
     Time away_at_ = 0;
 };
 
+// What several limits speak of passes them all, or takes from none. Guards the others under a limit against one of them
+// that is over a limit of its own: what that one turned away had used up the shared one before. Returns those that are
+// full, which alone count it as asked for; none: it passed.
+std::vector<Gate*> turned_away_by(Time now, const std::vector<std::pair<Gate*, double>>& gates_and_shares);
+
 }  // namespace pinedoor::fleet
--- a/src/service/limit_side.cpp
+++ b/src/service/limit_side.cpp
@@ -172,9 +172,15 @@
 bool LimitSide::may_connect(net::Endpoint at) {
     const auto now = scheduler_.now();
     const auto server = std::uint64_t{at.address} << 16U | at.port;
-    return std::all_of(limits_.begin(), limits_.end(), [&](const auto& each) {
-        return each->terms.of != Of::kConnections || each->pace.may_open(now, server, each->may_use(now));
-    });
+    // As with multigets: it takes from all limits, or from none.
+    const auto has_room = [&](const auto& each) {
+        return each->terms.of != Of::kConnections || each->pace.has_room(now, server, each->may_use(now));
+    };
+    const bool room = std::all_of(limits_.begin(), limits_.end(), has_room);
+    for (auto& each : limits_) {
+        if (each->terms.of == Of::kConnections && (room || !has_room(each))) each->pace.may_open(now, server, each->may_use(now));
+    }
+    return room;
 }
 
 void LimitSide::carry(std::vector<fleet::SendLease> all) {
@@ -205,20 +211,24 @@
 // The clock is read anew for each: a process that stood still uses nothing of what ended meanwhile.
 std::pair<Asked, Ticket> LimitSide::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
     if (const auto could = inner_.could_take(asked.name); could != Asked::kTaken) return {could, 0};
+    const auto now = scheduler_.now();
+    std::vector<std::pair<fleet::Gate*, double>> gates;
     for (auto& each : limits_) {
         if (each->terms.of != Of::kMultigets) continue;
         if (each->tenant >= 0 && each->tenant != asked.tenant) continue;
         if (each->op_type >= 0 && each->op_type != asked.op_type) continue;
-        const auto now = scheduler_.now();
-        const double share = each->may_use(now);
-        if (each->gate.pass(now, share)) continue;
-        Ending ending;
-        ending.kind = Ending::Kind::kPushedBack;
-        ending.wait = longest_wait_ > 0 ? each->gate.wait(share, longest_wait_) : 0;
-        ended(std::move(ending));
-        return {Asked::kTaken, 0};
+        gates.emplace_back(&each->gate, each->may_use(now));
+    }
+    const auto full = fleet::turned_away_by(now, gates);
+    if (full.empty()) return inner_.ask(std::move(asked), std::move(ended));
+    Ending ending;
+    ending.kind = Ending::Kind::kPushedBack;
+    for (const auto& [gate, share] : gates) {
+        const bool counts = longest_wait_ > 0 && std::find(full.begin(), full.end(), gate) != full.end();
+        if (counts) ending.wait = std::max(ending.wait, gate->wait(share, longest_wait_));
     }
-    return inner_.ask(std::move(asked), std::move(ended));
+    ended(std::move(ending));
+    return {Asked::kTaken, 0};
 }
 
 std::string LimitSide::print() const {
--- a/tests/fleet/gate_test.cpp
+++ b/tests/fleet/gate_test.cpp
@@ -61,6 +61,33 @@
     CHECK(at_once(10) == 2);
 }
 
+// Two tenants under one limit of 100 a second; one of them, limited to 10, asks for 900. They used up the shared limit before
+// its own turned them away: the other got none of its 83.
+TEST_CASE("what one limit turns away takes nothing of another: a tenant over its own leaves the shared one to others") {
+    fleet::LimitTerms all, own;
+    all.per_second = 100;
+    all.burst = 20;
+    own.per_second = 10;
+    fleet::Gate shared(all, 7), of_greedy(own, 8);
+    int passed = 0, greedy = 0;
+    Time now = kSecond;
+    for (int i = 0; i < 10'000; ++i, now += 10) {  // 10 s
+        if (i % 12 == 0) passed += fleet::turned_away_by(now, {{&shared, 100}}).empty() ? 1 : 0;
+        else greedy += fleet::turned_away_by(now, {{&shared, 100}, {&of_greedy, 10}}).empty() ? 1 : 0;
+    }
+    CHECK(passed > 790);
+    CHECK(greedy > 85);
+    CHECK(greedy < 105);
+    CHECK(shared.need(now) < 200);  // what it could not use is not asked for
+    CHECK(of_greedy.need(now) > 1'000);
+    const auto full = fleet::turned_away_by(now, {{&shared, 100}, {&of_greedy, 10}});
+    CHECK(full == std::vector<fleet::Gate*>{&of_greedy});
+    fleet::ConnectionPace pace(all);
+    for (int i = 0; i < 10; ++i) CHECK(pace.has_room(now, 1, 1));
+    CHECK(pace.may_open(now, 1, 1));
+    CHECK(!pace.has_room(now, 1, 1));
+}
+
 TEST_CASE("what a node needs goes by what comes, and ends soon after it") {
     fleet::LimitTerms terms;
     terms.per_second = 100;
