--- a/src/fleet/gate.cpp
+++ b/src/fleet/gate.cpp
@@ -72,15 +72,4 @@
     return until - static_cast<Time>(chance_() % static_cast<std::uint64_t>(until / 2 + 1));
 }
 
-std::vector<Gate*> turned_away_by(Time now, const std::vector<std::pair<Gate*, double>>& gates_and_shares) {
-    std::vector<Gate*> full;
-    for (const auto& [gate, share] : gates_and_shares) {
-        if (!gate->has_room(now, share)) full.push_back(gate);
-    }
-    for (const auto& [gate, share] : gates_and_shares) {
-        if (full.empty() || !gate->has_room(now, share)) gate->pass(now, share);
-    }
-    return full;
-}
-
 }  // namespace pinedoor::fleet
--- a/src/fleet/gate.hpp
+++ b/src/fleet/gate.hpp
@@ -5,9 +5,10 @@
 // and a share that grows begins with nothing saved for what it grew by.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <random>
-#include <utility>
 #include <vector>
 
 #include "fleet/terms.hpp"
@@ -70,8 +71,14 @@
 };
 
 // What several limits speak of passes them all, or takes from none. Guards the others under a limit against one of them
-// that is over a limit of its own: what that one turned away had used up the shared one before. Returns those that are
-// full, which alone count it as asked for; none: it passed.
-std::vector<Gate*> turned_away_by(Time now, const std::vector<std::pair<Gate*, double>>& gates_and_shares);
+// that is over a limit of its own: what that one turned away had used up the shared one before. `asks` takes from a limit
+// with room, and lets a full one count what it turned away. Returns those that are full; none: it passed.
+template <class Limit, class HasRoom, class Asks>
+std::vector<Limit> turned_away_by(const std::vector<Limit>& all, HasRoom has_room, Asks asks) {
+    std::vector<Limit> full;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(full), [&](const auto& each) { return !has_room(each); });
+    for (const auto& each : full.empty() ? all : full) asks(each);
+    return full;
+}
 
 }  // namespace pinedoor::fleet
--- a/src/peers/carrier.cpp
+++ b/src/peers/carrier.cpp
@@ -218,7 +218,6 @@
     auto fd = links_.size() < kMostLinks ? net::connect_to(to_endpoint(exchange.with)) : net::Fd{};
     if (!fd) {
         ++counts_.exchanges_failed;
-        act(membership_.exchange_failed(scheduler_.now()));
         return;
     }
     start_link(std::move(fd), &Carrier::ask_for_state);
@@ -312,7 +311,7 @@
         co_await waiter.wait(net::kRead | (written < ours.size() ? unsigned{net::kWrite} : 0U), until);
     }
     ++counts_.exchanges_failed;
-    act(membership_.exchange_failed(scheduler_.now()));
+    if (scheduler_.now() < until) act(membership_.exchange_refused(scheduler_.now()));
 }
 
 net::Task Carrier::give_state(Link& link) {
--- a/src/peers/decide.cpp
+++ b/src/peers/decide.cpp
@@ -373,12 +373,14 @@
 
 // Who starts with its seeds may be a moment before them, and is refused: it need not wait as for one that is slow. Of ten
 // that started within 100 ms some stayed alone for a second, and all waited for them.
-std::vector<Action> Membership::exchange_failed(Time now) {
+std::vector<Action> Membership::exchange_refused(Time now) {
     constexpr Time kSooner = 16;  // so many times sooner, and doubling with each try as well
     last_ = std::max(last_, now);
     if (living_.empty() && !leaving_) {
-        const Time span = std::max<Time>(2, terms_.period / kSooner * std::min(kMostLonely * kSooner, Time{1} << std::min(lonely_tries_ - 1, 8)));
-        exchange_at_ = std::min(exchange_at_, now + span / 2 + static_cast<Time>(below(static_cast<std::size_t>(span / 2) + 1)));
+        const Time tries = std::min(kMostLonely * kSooner, Time{1} << std::min(lonely_tries_ - 1, 8));
+        const Time span = std::max<Time>(2, terms_.period / kSooner * tries);
+        const auto jitter = static_cast<Time>(below(static_cast<std::size_t>(span / 2) + 1));
+        exchange_at_ = std::min(exchange_at_, now + span / 2 + jitter);
     }
     set_due();
     return std::exchange(actions_, {});
--- a/src/peers/decide.hpp
+++ b/src/peers/decide.hpp
@@ -117,7 +117,7 @@
     Time due() const { return due_; }
     std::vector<Action> take(Time now, const Message& message);
     std::vector<Action> take_state(Time now, const std::vector<Claim>& claims);
-    std::vector<Action> exchange_failed(Time now);  // one that was asked for ended without the other's state
+    std::vector<Action> exchange_refused(Time now);  // or cut off; not: too slow
     std::vector<Claim> state() const;        // of all that are known, this node first
     std::vector<Action> leave(Time now);     // tells some; others hear of it from them
     void seed_with(std::vector<At> seeds) { seeds_ = std::move(seeds); }
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -228,8 +228,8 @@
 
 void Exchange::list_news(ListKind kind, std::vector<Member> members, Time age) {
     counters_.add(kind == ListKind::kFailed ? Count::kListFailures : Count::kListNews);
-    if (kind != ListKind::kFailed) list_heard_ = scheduler_.now() - (age < ListNews::kOld ? age : 0);
-    ListNews news{kind, {}, age};
+    if (kind != ListKind::kFailed) list_heard_ = scheduler_.now() - std::max<Time>(0, age);
+    ListNews news{kind, {}, age < 0 ? ListNews::kOld : age};
     std::set<ServerId> named;
     for (auto& member : members) {
         // A server keeps its id here for as long as it is listed, and whatever address it is listed at.
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -83,7 +83,7 @@
     bool has_routes() const { return routes_ != nullptr; }
     std::optional<ServerId> server_named(const std::string& name) const;
 
-    void list_news(ListKind kind, std::vector<Member> members, Time age = ListNews::kOld);  // of kSaved, where told
+    void list_news(ListKind kind, std::vector<Member> members, Time age = -1);  // of kSaved; -1: not told
     // What other front nodes say of a server together; of one that is not listed it is passed over.
     void hear(const std::string& server, ServerWord word);
     void hear(DeadlyKey key) { happened(key); }
--- a/src/service/limit_side.cpp
+++ b/src/service/limit_side.cpp
@@ -172,15 +172,14 @@
 bool LimitSide::may_connect(net::Endpoint at) {
     const auto now = scheduler_.now();
     const auto server = std::uint64_t{at.address} << 16U | at.port;
-    // As with multigets: it takes from all limits, or from none.
-    const auto has_room = [&](const auto& each) {
-        return each->terms.of != Of::kConnections || each->pace.has_room(now, server, each->may_use(now));
-    };
-    const bool room = std::all_of(limits_.begin(), limits_.end(), has_room);
+    std::vector<Limit*> paces;
     for (auto& each : limits_) {
-        if (each->terms.of == Of::kConnections && (room || !has_room(each))) each->pace.may_open(now, server, each->may_use(now));
+        if (each->terms.of == Of::kConnections) paces.push_back(each.get());
     }
-    return room;
+    return fleet::turned_away_by(
+               paces, [&](Limit* each) { return each->pace.has_room(now, server, each->may_use(now)); },
+               [&](Limit* each) { each->pace.may_open(now, server, each->may_use(now)); })
+        .empty();
 }
 
 void LimitSide::carry(std::vector<fleet::SendLease> all) {
@@ -212,20 +211,21 @@
 std::pair<Asked, Ticket> LimitSide::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
     if (const auto could = inner_.could_take(asked.name); could != Asked::kTaken) return {could, 0};
     const auto now = scheduler_.now();
-    std::vector<std::pair<fleet::Gate*, double>> gates;
+    std::vector<Limit*> gates;
     for (auto& each : limits_) {
         if (each->terms.of != Of::kMultigets) continue;
         if (each->tenant >= 0 && each->tenant != asked.tenant) continue;
         if (each->op_type >= 0 && each->op_type != asked.op_type) continue;
-        gates.emplace_back(&each->gate, each->may_use(now));
+        gates.push_back(each.get());
     }
-    const auto full = fleet::turned_away_by(now, gates);
+    const auto full = fleet::turned_away_by(
+        gates, [&](Limit* each) { return each->gate.has_room(now, each->may_use(now)); },
+        [&](Limit* each) { each->gate.pass(now, each->may_use(now)); });
     if (full.empty()) return inner_.ask(std::move(asked), std::move(ended));
     Ending ending;
     ending.kind = Ending::Kind::kPushedBack;
-    for (const auto& [gate, share] : gates) {
-        const bool counts = longest_wait_ > 0 && std::find(full.begin(), full.end(), gate) != full.end();
-        if (counts) ending.wait = std::max(ending.wait, gate->wait(share, longest_wait_));
+    for (auto* each : full) {
+        if (longest_wait_ > 0) ending.wait = std::max(ending.wait, each->gate.wait(each->may_use(now), longest_wait_));
     }
     ended(std::move(ending));
     return {Asked::kTaken, 0};
--- a/tests/fleet/gate_test.cpp
+++ b/tests/fleet/gate_test.cpp
@@ -71,17 +71,21 @@
     fleet::Gate shared(all, 7), of_greedy(own, 8);
     int passed = 0, greedy = 0;
     Time now = kSecond;
+    const auto share = [&](fleet::Gate* each) { return each == &shared ? 100.0 : 10.0; };
+    const auto full = [&](const std::vector<fleet::Gate*>& gates) {
+        return fleet::turned_away_by(
+            gates, [&](auto* each) { return each->has_room(now, share(each)); }, [&](auto* each) { each->pass(now, share(each)); });
+    };
     for (int i = 0; i < 10'000; ++i, now += 10) {  // 10 s
-        if (i % 12 == 0) passed += fleet::turned_away_by(now, {{&shared, 100}}).empty() ? 1 : 0;
-        else greedy += fleet::turned_away_by(now, {{&shared, 100}, {&of_greedy, 10}}).empty() ? 1 : 0;
+        if (i % 12 == 0) passed += full({&shared}).empty() ? 1 : 0;
+        else greedy += full({&shared, &of_greedy}).empty() ? 1 : 0;
     }
     CHECK(passed > 790);
     CHECK(greedy > 85);
     CHECK(greedy < 105);
     CHECK(shared.need(now) < 200);  // what it could not use is not asked for
     CHECK(of_greedy.need(now) > 1'000);
-    const auto full = fleet::turned_away_by(now, {{&shared, 100}, {&of_greedy, 10}});
-    CHECK(full == std::vector<fleet::Gate*>{&of_greedy});
+    CHECK(full({&shared, &of_greedy}) == std::vector<fleet::Gate*>{&of_greedy});
     fleet::ConnectionPace pace(all);
     for (int i = 0; i < 10; ++i) CHECK(pace.has_room(now, 1, 1));
     CHECK(pace.may_open(now, 1, 1));
--- a/tests/fleet/hard_cases_test.cpp
+++ b/tests/fleet/hard_cases_test.cpp
@@ -89,7 +89,8 @@
 TEST_CASE("all start while discovery is down; half know a list that is old, a third of its servers are others") {
     test::judge([&] { return play(fault("discovery-down", 0, 5),
                              {{"fleet.start_within_ms", "100"}, {"fleet.known", "0.5"}, {"fleet.known_gone", "0.25"},
-                              {"fleet.cold", "true"}, {"fleet.discovery.calls_per_second", "5"}}); }, [&](const auto& played, test::Figures& figures) {
+                              {"fleet.cold", "true"}, {"fleet.discovery.calls_per_second", "5"}}); },
+                [&](const auto& played, test::Figures& figures) {
         FIGURE(played.reader.served_by(0.5) > 0);
         FIGURE(played.reader.served_by(0.5) < 4 * kSecond);  // who knows a list, however old, serves
         FIGURE(played.reader.served_by(1) > 0);
@@ -100,7 +101,8 @@
 
 TEST_CASE("seven in ten die at once under load and return together; the thirty left neither sink nor push over") {
     test::judge([&] { return play(fault("kill", 3, 6, "share = 0.7"),
-                             {{"fleet.discovery.calls_per_second", "5"}, {"fleet.known", "0.3"}}, 9 * kSecond); }, [&](const auto& played, test::Figures& figures) {
+                             {{"fleet.discovery.calls_per_second", "5"}, {"fleet.known", "0.3"}}, 9 * kSecond); },
+                [&](const auto& played, test::Figures& figures) {
         FIGURE(played.served() > 0.97);  // all are back
         FIGURE(played.totals.count(CallDesk::End::kRefused) <= 4);
     });
@@ -108,7 +110,8 @@
 
 TEST_CASE("power returns to everything at once: discovery, servers, front nodes, and clients with their retries") {
     test::judge([&] { return play(fault("kill", 3, 5) + fault("discovery-down", 3, 5) + trouble("crash", 3, 5),
-                             {{"fleet.discovery.calls_per_second", "5"}, {"fleet.known", "0.5"}}, 10 * kSecond); }, [&](const auto& played, test::Figures& figures) {
+                             {{"fleet.discovery.calls_per_second", "5"}, {"fleet.known", "0.5"}}, 10 * kSecond); },
+                [&](const auto& played, test::Figures& figures) {
         FIGURE(played.served() > 0.97);
         FIGURE(played.totals.calls.size() <= 20);
     });
@@ -120,7 +123,8 @@
         faults += fault("term", 2 + 0.6 * i, 2.5 + 0.6 * i, "nodes = [" + std::to_string(i) + "]");
     }
     faults += fault("discovery-moves", 4, 4.1) + trouble("cut-off", 5, 7, "zone = 1");
-    test::judge([&] { return play(faults, {{"zones", "2"}, {"fleet.discovery.calls_per_second", "20"}}, 10 * kSecond); }, [&](const auto& played, test::Figures& figures) {
+    test::judge([&] { return play(faults, {{"zones", "2"}, {"fleet.discovery.calls_per_second", "20"}}, 10 * kSecond); },
+                [&](const auto& played, test::Figures& figures) {
         FIGURE(played.served() > 0.97);
     });
 }
@@ -133,7 +137,8 @@
                                  trouble("crash", 4, 10, "share = 0.25") + trouble("crash", 5, 11, "share = 0.25"),
                              {{"fleet.known", "0"}, {"replicas", "4"}, {"seconds", "13"},
                               {"fleet.discovery.calls_per_second", "5"}},
-                             8 * kSecond, 10 * kSecond); }, [&](const auto& played, test::Figures& figures) {
+                             8 * kSecond, 10 * kSecond); },
+                [&](const auto& played, test::Figures& figures) {
         FIGURE(played.served() > 0.97);
         // Its followers leave it too, or have the later list through it, whichever is sooner: list_source_test asks that.
         FIGURE(played.behind.contains(4));
@@ -147,7 +152,8 @@
                                  fault("clock", 3, 7, "nodes = [7]\nby_s = 7200") +
                                  fault("clock", 3, 7, "nodes = [8]\nby_s = -7200") + fault("kill", 5, 6, "nodes = [8]") +
                                  trouble("crash", 6, 8, "share = 0.25"),
-                             {{"seconds", "14"}}, 11 * kSecond); }, [&](const auto& played, test::Figures& figures) {
+                             {{"seconds", "14"}}, 11 * kSecond); },
+                [&](const auto& played, test::Figures& figures) {
         FIGURE(played.served() > 0.97);
         // Also the one that started while all its seeds were dead.
         for (int i = 0; i < 10; ++i) FIGURE(played.knows.at(i) == 10);
@@ -158,13 +164,15 @@
 TEST_CASE("folders: another's at a restart, gone, full; each with a store of record, and reads go on") {
     test::judge([&] { return play(fault("kill-foreign", 3, 4, "nodes = [2, 3, 4]") + fault("kill-disk", 3, 4, "nodes = [5]") +
                                  fault("full", 4, 9, "nodes = [6, 7]\nquota_bytes = 4096"),
-                             {{"fleet.store", "true"}, {"seconds", "11"}}, 6 * kSecond); }, [&](const auto& played, test::Figures& figures) {
+                             {{"fleet.store", "true"}, {"seconds", "11"}}, 6 * kSecond); },
+                [&](const auto& played, test::Figures& figures) {
         FIGURE(played.served() > 0.97);
     });
 }
 
 TEST_CASE("seeds are read from a file that is written later; then discovery tells one half of the list, and it is obeyed") {
-    test::judge([&] { return play(fault("discovery-half", 9, 11), {{"fleet.seeds_after_s", "2"}, {"seconds", "13"}}); }, [&](const auto& played, test::Figures& figures) {
+    test::judge([&] { return play(fault("discovery-half", 9, 11), {{"fleet.seeds_after_s", "2"}, {"seconds", "13"}}); },
+                [&](const auto& played, test::Figures& figures) {
         for (int i = 0; i < 10; ++i) FIGURE(played.knows.at(i) == 10);
         FIGURE(played.served() > 0.9);
     });
@@ -175,10 +183,11 @@
     test::judge([&] { return play(trouble("shift", 0, 12, "share = 0.33\nzone = 0"),
                              {{"zones", "10"}, {"servers.cores", "2"}, {"servers.part_ms", "{ exponential = 10 }"},
                               {"servers.warm_after_ms", "8000"}, {"clients.0.per_second", "250"}, {"fleet.cold", "true"},
-                              {"fleet.start_within_ms", "100"}}); }, [&](const auto& played, test::Figures& figures) {
+                              {"fleet.start_within_ms", "100"}}); },
+                [&](const auto& played, test::Figures& figures) {
         const double used = played.reader.nearest(Breach::Rule::kNoColdServerOver);
         MESSAGE("of what a cold server bears, at the most " << used << " was sent");
-        FIGURE(used < 1);
+        CHECK(used < 1);
         FIGURE(used > 0.15);
     });
 }
@@ -191,7 +200,8 @@
                                  {"clients.0.route_timeout_ms", "1800"}, {"seconds", "11"}};
     test::judge([&] { return play(trouble("hang", 3, 11, "share = 0.33") + fault("kill", 5, 7, "nodes = [2, 5, 8]") +
                                  fault("kill", 6, 9, "nodes = [3, 6, 9]"),
-                             changes); }, [&](const auto& played, test::Figures& figures) {
+                             changes); },
+                [&](const auto& played, test::Figures& figures) {
         const auto& rejoined = played.reader.picks_of_rejoined();
         const auto& others = played.reader.picks_of_others();
         MESSAGE("to hung servers: " << rejoined.ailing << " of " << rejoined.sends << " by those that had just started, "
--- a/tests/fleet/hunt_test.cpp
+++ b/tests/fleet/hunt_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <sstream>
 
+#include "fleet/judged.hpp"
 #include "lab/fleet/fleet_hunt.hpp"
 #include "lab/fleet/verdict.hpp"
 
@@ -99,4 +100,33 @@
     CHECK(life_of_node(empty, 5).empty());
 }
 
+TEST_CASE("figures of plays: the first decides if it has them all, else two of three; what is not made good is missed") {
+    // Each letter a play: good, bad, or slow, without its time.
+    const auto missed = [](const std::string& plays) {
+        std::size_t at = 0;
+        struct Play {
+            lab::FleetTotals totals;
+            bool good = true;
+        };
+        const auto text = test::missed_figures(
+            [&] {
+                Play play;
+                const char what = plays.at(at++);
+                play.good = what == 'g';
+                play.totals.late_share = what == 's' ? 1 : 0;
+                return play;
+            },
+            [](const auto& play, test::Figures& figures) { FIGURE(play.good); }, 5);
+        return text + ' ' + std::to_string(at);
+    };
+    if (test::kSanitized) return;  // no figure is asked there
+    CHECK(missed("g") == " 1");
+    CHECK(missed("bgg") == " 3");
+    CHECK(missed("bgb") == "play.good | play.good 3");
+    CHECK(missed("bb") == "play.good | play.good 2");
+    CHECK(missed("sss") == " 3");  // none to judge
+    CHECK(missed("bssss") == "play.good 5");
+    CHECK(missed("bgsss") == "play.good 5");
+}
+
 }  // namespace
--- a/tests/fleet/judged.hpp
+++ b/tests/fleet/judged.hpp
@@ -8,7 +8,6 @@
 #include <doctest/doctest.h>
 
 #include <string>
-#include <vector>
 
 #include "lab/fleet/verdict.hpp"
 
@@ -42,29 +41,35 @@
 #define FIGURE(...) figures.expect((__VA_ARGS__), #__VA_ARGS__)
 
 // `play` returns something with `totals` and asks promises of it; `ask` states its figures. What arrives when is a
-// matter of chance among processes: a figure 4 deviations from its bound is missed once in some thousand plays, and
-// there are a hundred. So the first play decides if it has them all, else two of three do.
+// matter of chance among processes, and there are dozens of figures: some play misses one now and then. So the first play
+// decides if it has them all, else two of three do; one that was missed and not made good is missed. Returns what was.
 template <class Play, class Ask>
-void judge(Play play, Ask ask) {
+std::string missed_figures(Play play, Ask ask, int most_plays) {
     int good = 0;
-    std::vector<std::string> bad;
-    for (int tries = 0; tries < (kSanitized ? 1 : 5); ++tries) {
+    std::string bad;
+    for (int plays = 1; plays <= most_plays; ++plays) {
         const auto played = play();
         if (!had_its_time(played.totals)) {
             MESSAGE("figures not judged: late " << played.totals.late_share << ", waited " << played.totals.waiting_share);
-            if (tries >= 2 && bad.empty()) return;
+            if (plays >= 3 && bad.empty()) return bad;
             continue;
         }
         Figures figures;
         ask(played, figures);
-        if (figures.missed().empty() && (++good > 1 || bad.empty())) return;
-        if (figures.missed().empty()) continue;
+        if (figures.missed().empty()) {
+            if (bad.empty() || ++good == 2) return {};
+            continue;
+        }
         MESSAGE("missed in one play: " << figures.missed());
-        bad.push_back(figures.missed());
-        if (bad.size() < 2) continue;
-        FAIL_CHECK("missed in two of three plays: " << bad[0] << " | " << bad[1]);
-        return;
+        if (!bad.empty()) return bad + " | " + figures.missed();
+        bad = figures.missed();
     }
+    return bad;
+}
+template <class Play, class Ask>
+void judge(Play play, Ask ask) {
+    const auto missed = missed_figures(play, ask, kSanitized ? 1 : 5);
+    if (!missed.empty()) FAIL_CHECK("missed: " << missed);
 }
 
 // Breaches of promises always, of rules that state times where these can be kept.
--- a/tests/fleet/start_test.cpp
+++ b/tests/fleet/start_test.cpp
@@ -63,15 +63,16 @@
 }
 
 TEST_CASE("thirty front nodes start at once before a discovery that serves five calls a second") {
-    test::judge([&] { return play(FleetWorld::from_text(kCold, "cold.toml")); }, [&](const auto& seen, test::Figures& figures) {
-        FIGURE(seen.totals.totals.broken() == 0);
+    test::judge([&] { return play(FleetWorld::from_text(kCold, "cold.toml")); },
+                [&](const auto& seen, test::Figures& figures) {
+        CHECK(seen.totals.totals.broken() == 0);
         const auto& calls = seen.totals;
         FIGURE(calls.count(CallDesk::End::kServed) == 30);
         FIGURE(calls.calls.size() <= 90);  // three a node
         FIGURE(calls.count(CallDesk::End::kRefused) <= 30);
         FIGURE(seen.reader.served_by(1) > 0);
         FIGURE(seen.reader.served_by(0.5) < 70'000);
-        FIGURE(seen.reader.nearest(Breach::Rule::kNoColdServerOver) < 1);
+        CHECK(seen.reader.nearest(Breach::Rule::kNoColdServerOver) < 1);
     });
 }
 
@@ -79,8 +80,9 @@
     test::judge([&] { return play(FleetWorld::from_text(
         std::string(kCold) + "[[faults]]\nkind = \"discovery-down\"\nfrom_s = 0\nuntil_s = 4\n", "down.toml",
         {{"fleet.known", "0.5"}, {"fleet.known_gone", "0.33"}, {"fleet.discovery.calls_per_second", "20"},
-         {"seconds", "16"}})); }, [&](const auto& seen, test::Figures& figures) {
-        FIGURE(seen.totals.totals.broken() == 0);
+         {"seconds", "16"}})); },
+                [&](const auto& seen, test::Figures& figures) {
+        CHECK(seen.totals.totals.broken() == 0);
         FIGURE(seen.totals.count(CallDesk::End::kServed) >= 30);
         FIGURE(seen.totals.most_calls_in_a_second <= 30);
         // Those that know a list serve before discovery is back, though a third of it is nobody.
@@ -95,8 +97,9 @@
     test::judge([&] { return play(FleetWorld::from_text(
         std::string(kCold) + "[[faults]]\nkind = \"kill\"\nfrom_s = 4\nuntil_s = 5\nshare = 0.7\n", "herd.toml",
         {{"fleet.known", "1"}, {"fleet.cold", "false"}, {"fleet.start_within_ms", "-0.1"},
-         {"fleet.discovery.calls_per_second", "20"}, {"seconds", "12"}})); }, [&](const auto& seen, test::Figures& figures) {
-        FIGURE(seen.totals.totals.broken() == 0);
+         {"fleet.discovery.calls_per_second", "20"}, {"seconds", "12"}})); },
+                [&](const auto& seen, test::Figures& figures) {
+        CHECK(seen.totals.totals.broken() == 0);
         FIGURE(seen.totals.totals.node_kills == 21);
         FIGURE(seen.totals.calls.size() <= 30 + 3 * 21);
         const auto& seconds = seen.reader.seconds();
@@ -117,8 +120,9 @@
             "[[faults]]\nkind = \"stop\"\nfrom_s = 3\nuntil_s = 4.5\nnodes = [6]\n",
         "cut.toml",
         {{"fleet.known", "1"}, {"fleet.cold", "false"}, {"fleet.start_within_ms", "-0.1"},
-         {"fleet.discovery.calls_per_second", "50"}, {"seconds", "10"}})); }, [&](const auto& seen, test::Figures& figures) {
-        FIGURE(seen.totals.totals.broken() == 0);
+         {"fleet.discovery.calls_per_second", "50"}, {"seconds", "10"}})); },
+                [&](const auto& seen, test::Figures& figures) {
+        CHECK(seen.totals.totals.broken() == 0);
         FIGURE(seen.totals.calls.size() > 30);  // those that were cut off ask again
         FIGURE(seen.totals.calls.size() < 150);
         FIGURE(seen.totals.totals.service() > 0.9);
--- a/tests/fleet/verdicts_test.cpp
+++ b/tests/fleet/verdicts_test.cpp
@@ -99,7 +99,8 @@
 
 // Without verdicts a quarter of all sends goes on meeting the hung ones, half of that at the least.
 TEST_CASE("a quarter of the servers hang: the fleet leaves them within a second or two, and finds them again together") {
-    test::judge([&] { return play(trouble("hang", 4, 8, "share = 0.25")); }, [&](const auto& played, test::Figures& figures) {
+    test::judge([&] { return play(trouble("hang", 4, 8, "share = 0.25")); },
+                [&](const auto& played, test::Figures& figures) {
         MESSAGE("to hung servers in the first half second " << played.reader.picks(40'000, 45'000).share() << ", from 2 s on "
                                                             << played.share(6, 8) << "; served " << played.served());
         FIGURE(played.share(6, 8) < 0.1);  // 0.01 to 0.06, and 0.14 to 0.15 without verdicts
@@ -119,7 +120,8 @@
 
 // Two of eighteen members say the contrary of what holds, of each server, always as if just seen.
 TEST_CASE("a tenth of the members talk nonsense: hung servers are left all the same, and no sound one is") {
-    test::judge([&] { return play(trouble("hang", 4, 11, "share = 0.25"), {{"fleet.liars", "2"}}); }, [&](const auto& played, test::Figures& figures) {
+    test::judge([&] { return play(trouble("hang", 4, 11, "share = 0.25"), {{"fleet.liars", "2"}}); },
+                [&](const auto& played, test::Figures& figures) {
         MESSAGE("to hung servers from 2 s on " << played.share(6, 11) << "; served " << played.served());
         FIGURE(played.share(6, 11) < 0.11);  // 0.044 to 0.067, and 0.147 to 0.155 without
         FIGURE(played.served() > 0.97);
@@ -136,7 +138,8 @@
 }
 
 TEST_CASE("a zone is cut off from the servers of the other: each side leaves what it cannot reach, and that alone") {
-    test::judge([&] { return play(trouble("cut-off", 4, 9, "zone = 1"), {{"zones", "2"}}); }, [&](const auto& played, test::Figures& figures) {
+    test::judge([&] { return play(trouble("cut-off", 4, 9, "zone = 1"), {{"zones", "2"}}); },
+                [&](const auto& played, test::Figures& figures) {
         MESSAGE("served " << played.served());
         FIGURE(played.served() > 0.95);
         // All servers go on, each before the front nodes of its own zone.
@@ -151,7 +154,8 @@
 
 // A server hangs for one zone only: that zone's front nodes leave it, and the others are not told to.
 TEST_CASE("four servers hear nothing from one of two zones: that one leaves them, the other goes on") {
-    test::judge([&] { return play(fault("deaf", 4, 9, "servers = [0, 1, 2, 3]\nzone = 1"), {{"zones", "2"}}); }, [&](const auto& played, test::Figures& figures) {
+    test::judge([&] { return play(fault("deaf", 4, 9, "servers = [0, 1, 2, 3]\nzone = 1"), {{"zones", "2"}}); },
+                [&](const auto& played, test::Figures& figures) {
         double share[2] = {};
         for (int zone = 0; zone < 2; ++zone) {
             std::uint64_t to_deaf = 0, all = 0;
@@ -173,7 +177,8 @@
 TEST_CASE("four servers fail one op type only: both are served, and the four are not left by all") {
     test::judge([&] { return play(fault("fails-kind", 4, 9, "servers = [0, 1, 2, 3]\nclient_kind = 1") +
                              "[[clients]]\nname = \"other\"\nper_second = 60\nparts = [3, 4]\nlatency_budget_ms = 400\n"
-                             "route_timeout_ms = 1500\nretries = 2\n"); }, [&](const auto& played, test::Figures& figures) {
+                             "route_timeout_ms = 1500\nretries = 2\n"); },
+                [&](const auto& played, test::Figures& figures) {
         std::uint64_t to_failing = 0, all = 0;
         for (const auto& [node, servers] : played.sends_late) {
             for (const auto& [server, count] : servers) all += count, to_failing += server < 4 ? count : 0;
@@ -189,7 +194,7 @@
 // node finds it out by several deaths of its own; told, most never send more than one part of it at a time.
 TEST_CASE("a multiget kills servers: its key is told to all, which kills fewer than each finding it out alone") {
     // What is counted is their sends, each a death if the server is up: how many are asked in ten seconds varies from play
-    // to play, and with it how many die, 20 to 32 and 43 to 80.
+    // to play, and with it how many die, 13 to 32 and 43 to 80.
     const auto faults = fault("deadly-kind", 2, 12, "client_kind = 1") +
                         "[[clients]]\nname = \"killer\"\nper_second = 2\nparts = 4\nkeys = 1\nlatency_budget_ms = 400\n"
                         "route_timeout_ms = 1500\nretries = 0\n";
@@ -198,7 +203,7 @@
                     [&](const auto& played, test::Figures& figures) {
             MESSAGE("told " << told << ": servers died " << played.deaths << " times; sends of a deadly multiget "
                             << played.sends_of_deadly());
-            FIGURE(told ? played.sends_of_deadly() < 1.5 : played.sends_of_deadly() > 2);  // 1 and 2.9 to 3.7
+            FIGURE(told ? played.sends_of_deadly() < 1.5 : played.sends_of_deadly() > 2);  // 1 and 2.7 to 3.7
             FIGURE(!told || played.told_key >= 12);  // front nodes, of fifteen others
         });
     }
@@ -208,7 +213,8 @@
     std::string faults = fault("links", 3, 11, "between = \"peers\"\nnodes = [0, 2, 4, 6, 8, 10, 12, 14]\nlose = 0.3\ntwice = 0.2\nswap = 0.2") +
                          fault("kill", 4, 5, "nodes = [1, 4, 7, 10, 13]") + fault("stop", 5, 8, "nodes = [3]");
     for (int i = 0; i < 4; ++i) faults += trouble("hang", 3.5 + 2 * i, 5.5 + 2 * i, "share = 0.2");
-    test::judge([&] { return play(faults); }, [&](const auto& played, test::Figures& figures) {
+    test::judge([&] { return play(faults); },
+                [&](const auto& played, test::Figures& figures) {
         MESSAGE("to hung servers " << played.share(4, 11) << "; served " << played.served());
         FIGURE(played.served() > 0.8);
     });
--- a/tests/peers/processes_test.cpp
+++ b/tests/peers/processes_test.cpp
@@ -88,7 +88,8 @@
     test::judge([&] { return play(
         "[[faults]]\nkind = \"kill\"\nfrom_s = 4\nuntil_s = 10\nnodes = [0, 5]\n"  // a seed among them
         "[[faults]]\nkind = \"stop\"\nfrom_s = 4\nuntil_s = 9\nnodes = [7]\n",
-        {{"seconds", "15"}}); }, [&](const auto& seen, test::Figures& figures) {
+        {{"seconds", "15"}}); },
+                [&](const auto& seen, test::Figures& figures) {
         for (int i = 0; i < 12; ++i) {
             FIGURE(seen.views.at(i, 4 * kSecond).size() == 12);
             FIGURE(seen.views.at(i, 15 * kSecond).size() == 12);  // all are back
@@ -103,7 +104,8 @@
 TEST_CASE("losses, doubles, swaps and flipped bits between peers make nobody a stranger") {
     test::judge([&] { return play(
         "[[faults]]\nkind = \"links\"\nbetween = \"peers\"\nnodes = [0, 1, 2, 3, 4, 5]\nfrom_s = 3\nuntil_s = 11\n"
-        "lose = 0.15\ntwice = 0.3\nswap = 0.3\nflip = 0.05\n"); }, [&](const auto& seen, test::Figures& figures) {
+        "lose = 0.15\ntwice = 0.3\nswap = 0.3\nflip = 0.05\n"); },
+                [&](const auto& seen, test::Figures& figures) {
         for (int i = 0; i < 12; ++i) {
             for (int second = 4; second < 12; second += 2) FIGURE(seen.views.at(i, second * kSecond).size() == 12);
         }
@@ -115,7 +117,8 @@
     test::judge([&] { return play(
         "[[faults]]\nkind = \"links\"\nbetween = \"peers\"\nnodes = [0, 2, 4, 6, 8, 10]\nfrom_s = 3\nuntil_s = 9\n"
         "cut = true\n",
-        {{"seconds", "18"}}); }, [&](const auto& seen, test::Figures& figures) {
+        {{"seconds", "18"}}); },
+                [&](const auto& seen, test::Figures& figures) {
         for (int i = 0; i < 12; ++i) {
             FIGURE(seen.views.at(i, 3 * kSecond).size() == 12);
             FIGURE(seen.views.at(i, 9 * kSecond).size() == 6);
@@ -146,7 +149,8 @@
 // Guards discovery: without peers 30 such front nodes made 64 calls, 100 some 800.
 TEST_CASE("thirty processes that start at once with peers meet discovery with a handful of calls, and all serve") {
     test::judge([&] { return play("", {{"nodes", "30"}, {"fleet.known", "0"}, {"fleet.period_ms", "1000"},
-                                {"fleet.discovery.calls_per_second", "5"}, {"seconds", "14"}}); }, [&](const auto& seen, test::Figures& figures) {
+                                {"fleet.discovery.calls_per_second", "5"}, {"seconds", "14"}}); },
+                [&](const auto& seen, test::Figures& figures) {
         FIGURE(seen.totals.calls.size() <= 12);
         FIGURE(seen.totals.count(CallDesk::End::kRefused) == 0);
         FIGURE(seen.reader.served_by(1) > 0);
@@ -165,7 +169,8 @@
             "until_s = 18\nnodes = [" + first + "]\n" +
             "[[troubles]]\nkind = \"crash\"\nfrom_s = 4\nuntil_s = 4.5\nshare = 0.25\n" +
             "[[troubles]]\nkind = \"crash\"\nfrom_s = 19\nuntil_s = 20\nshare = 0.25\n",
-        {{"seconds", "24"}, {"fleet.known", "0"}, {"fleet.discovery.calls_per_second", "5"}}); }, [&](const auto& seen, test::Figures& figures) {
+        {{"seconds", "24"}, {"fleet.known", "0"}, {"fleet.discovery.calls_per_second", "5"}}); },
+                [&](const auto& seen, test::Figures& figures) {
         FIGURE(seen.totals.calls.size() <= 16);
         FIGURE(seen.totals.count(CallDesk::End::kRefused) == 0);
     });
@@ -186,7 +191,8 @@
         }, [&](const auto& seen, test::Figures& figures) {
             int late = 0;
             for (const auto& each : seen.breaches) late += each.rule == Breach::Rule::kDrainsKept ? 1 : 0;
-            FIGURE((late > 0) == at_once);
+            if (!at_once) CHECK(late == 0);  // the rule of drains, in each play
+            FIGURE(!at_once || late > 0);
             FIGURE(seen.totals.calls.size() <= 16);
         });
     }
--- a/tests/peers/simulated.hpp
+++ b/tests/peers/simulated.hpp
@@ -181,7 +181,7 @@
         at_time(now_ + 2 * delay(), [this, which, to, ours = std::move(ours), life = node(which).starts] {
             auto& other = node(to);
             if (!other.up && node(which).up && !node(which).still && node(which).starts == life)  // refused
-                act(which, node(which).who->exchange_failed(now_));
+                act(which, node(which).who->exchange_refused(now_));
             if (!other.up || other.still) return;
             auto theirs = other.who->state();
             other.bytes += theirs.size() * 60;
