Log each call for the list, how it ended and what it told, with the age of the list

Change: events list_call, list_call_ended (typed reason, status, silence) and list_told (revision, entries), each with the list's age; lines are limited for each event, so that naming two hundred servers no longer crowds out the rest. No decision changes.

--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -1,6 +1,7 @@
 #include "service/exchange.hpp"
 
 #include <algorithm>
+#include <cstdio>
 #include <set>
 
 namespace pinedoor::service {
@@ -333,6 +334,14 @@
 
 void Exchange::carry_out(const Probe& probe) { happened(Probed{probe.server, false, 0, {}}); }
 
+std::string Exchange::print_list_age() const {
+    if (list_heard_ == 0) return "never heard before";
+    char text[48];
+    std::snprintf(text, sizeof text, "heard %.3f s ago",
+                  static_cast<double>(scheduler_.now() - list_heard_) / 10'000);
+    return text;
+}
+
 std::string Exchange::print_gauges() const {
     std::string out;
     append_line(out, "open_multigets", multigets_.size());
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -97,6 +97,8 @@
     std::vector<std::pair<std::string, ServerView>> servers() const;
     void forget(ServerId server);  // gone from the list, and nothing of it is left
 
+    std::string print_list_age() const;  // "heard 1.234 s ago", for the log
+
     bool idle() const { return multigets_.empty(); }
     bool knows_servers() const { return !servers_.empty(); }  // a list named some
     std::string print_gauges() const;
--- a/src/service/line_watch.cpp
+++ b/src/service/line_watch.cpp
@@ -9,8 +9,25 @@
 
 namespace pinedoor::service {
 
+std::string_view name_of(CallEnd end) {
+    switch (end) {
+        case CallEnd::kUnderWay: return "under way";
+        case CallEnd::kNoConnection: return "no connection";
+        case CallEnd::kRefused: return "refused";
+        case CallEnd::kBroken: return "broken off";
+        case CallEnd::kSilent: return "silent";
+        case CallEnd::kMalformed: return "malformed";
+        case CallEnd::kUnusable: return "unusable";
+        case CallEnd::kWhole: break;
+    }
+    return "at its end";
+}
+
 net::Task watch_lines(net::Scheduler& scheduler, LineWatch words,
                       std::function<bool(const std::string&)> take) {
+    CallState unwatched;
+    auto& state = words.state != nullptr ? *words.state : unwatched;
+    state = {CallEnd::kNoConnection, 0, scheduler.now(), 0};
     auto fd = net::connect_to(words.discovery).first;
     if (!fd) co_return;
     std::optional<net::Stream> opened;
@@ -19,39 +36,48 @@
     } catch (const std::system_error&) {  // there is no room for it on epoll: a call that failed
         co_return;
     }
+    state.end = CallEnd::kUnderWay;
     auto& connection = *opened;
     auto& waiter = connection.waiter();
-    auto heard = scheduler.now();
     const auto request = parse::http_get(words.target, net::to_text(words.discovery));
     std::size_t written = 0;
+    bool any_came = false;
     parse::HttpReader reader(parse::HttpReader::Kind::kResponse, {16 * 1024, words.longest});
     parse::JsonObjects objects(words.longest);
+    const auto end = [&](CallEnd how) { state.end = how; };
     for (;;) {
-        if (scheduler.now() - heard >= words.silence || connection.broken()) co_return;
+        if (connection.broken()) co_return end(any_came ? CallEnd::kBroken : CallEnd::kNoConnection);
+        if (scheduler.now() - state.heard >= words.silence) co_return end(CallEnd::kSilent);
         if (written < request.size() && waiter.may(net::kWrite)) {
-            if (net::socket_error(connection.fd()) != 0) co_return;
+            if (net::socket_error(connection.fd()) != 0) co_return end(CallEnd::kNoConnection);
             written += connection.write(std::string_view(request).substr(written));
         }
         if (waiter.may(net::kRead)) {
             switch (connection.read()) {
-                case net::Stream::Got::kBytes: heard = scheduler.now(); break;
+                case net::Stream::Got::kBytes:
+                    state.heard = scheduler.now();
+                    any_came = true;
+                    break;
                 case net::Stream::Got::kNothing: break;
-                default: co_return;
+                default: co_return end(any_came ? CallEnd::kBroken : CallEnd::kNoConnection);
             }
         }
         auto& buffer = connection.buffer();
         buffer.drop(reader.feed(buffer.held()));
-        if (reader.state() == parse::HttpReader::State::kBad) co_return;
-        if (reader.state() != parse::HttpReader::State::kHead && reader.status() != 200) co_return;
+        if (reader.state() == parse::HttpReader::State::kBad) co_return end(CallEnd::kMalformed);
+        if (reader.state() != parse::HttpReader::State::kHead) state.status = reader.status();
+        if (state.status != 0 && state.status != 200) co_return end(CallEnd::kRefused);
         const auto came = reader.take_body();
         if (!came.empty() && words.alive) words.alive();
         objects.feed(came);
         while (const auto object = objects.next()) {
-            if (!take(*object)) co_return;
+            if (!take(*object)) co_return end(CallEnd::kUnusable);
+            ++state.objects;
         }
-        if (objects.bad() || reader.state() == parse::HttpReader::State::kDone) co_return;
+        if (objects.bad()) co_return end(CallEnd::kMalformed);
+        if (reader.state() == parse::HttpReader::State::kDone) co_return end(CallEnd::kWhole);
         co_await waiter.wait(net::kRead | (written < request.size() ? net::kWrite : 0U),
-                             heard + words.silence);
+                             state.heard + words.silence);
     }
 }
 
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -31,10 +31,10 @@
 
 void ListWatch::watch() {
     wanted_ = true;
-    if (keeper_ == nullptr) start(watching_, true);
+    if (keeper_ == nullptr) start(watching_, watch_state_, true);
 }
 void ListWatch::fetch() {
-    if (keeper_ == nullptr) start(fetching_, false);
+    if (keeper_ == nullptr) start(fetching_, fetch_state_, false);
 }
 
 // What is under way ends without word. The whole list is asked for: its revisions may be another's.
@@ -42,7 +42,7 @@
     source_ = source;
     revision_.clear();
     watching_ = net::Task{};
-    start(watching_, true);
+    start(watching_, watch_state_, true);
 }
 
 void ListWatch::move_to(net::Endpoint discovery) {
@@ -61,23 +61,37 @@
 }
 
 // A call that is under way goes on: it ends by itself, and then says so.
-void ListWatch::start(net::Task& task, bool stream) {
+void ListWatch::start(net::Task& task, CallState& state, bool stream) {
     if (!task.done()) return;
-    task = follow(stream);
-    task.start([this](std::exception_ptr failure) {
+    log_.event(Level::kInfo, "list_call",
+               "the list is asked for at " + net::to_text(source_) + ", " + exchange_.print_list_age(),
+               {{"revision", revision_}});
+    task = follow(stream, state);
+    task.start([this, &state](std::exception_ptr failure) {
         if (failure) counters_.add(Count::kTasksThrew);
-        exchange_.list_news(ListKind::kFailed, {});
-        if (keeper_ != nullptr) keeper_->ended();
+        ended(state);
     });
 }
 
-net::Task ListWatch::follow(bool stream) {
+void ListWatch::ended(const CallState& state) {
+    const std::string what = state.objects > 0 ? "the watch on the list" : "the call for the list";
+    const std::string status = state.status == 0 ? "" : ", status " + std::to_string(state.status);
+    log_.event(
+        Level::kInfo, "list_call_ended",
+        what + " ended: " + std::string(name_of(state.end)) + status + ", " + exchange_.print_list_age(),
+        {{"reason", std::string(name_of(state.end))},
+         {"silent_ms", std::to_string((scheduler_.now() - state.heard) / 10)}});
+    exchange_.list_news(ListKind::kFailed, {});
+    if (keeper_ != nullptr) keeper_->ended();
+}
+
+net::Task ListWatch::follow(bool stream, CallState& state) {
     std::string target = "/discovery/hosts";
     if (stream) target += "?stream=1" + (revision_.empty() ? "" : "&index=" + revision_);
     std::function<void()> alive;
     if (keeper_ != nullptr && source_ == discovery_) alive = [this] { keeper_->still({}); };
     return watch_lines(scheduler_,
-                       {source_, std::move(target), stream, kLongestList, kSilence, std::move(alive)},
+                       {source_, std::move(target), stream, kLongestList, kSilence, std::move(alive), &state},
                        [this](const std::string& line) { return take_object(line); });
 }
 
@@ -147,6 +161,7 @@
         const auto word = source_ == discovery_ ? ListKeeper::Word{} : word_in(list);
         keeper_->came(revision_, kind == ListKind::kFull, read, word);
     }
+    log_told(saved ? ListKind::kSaved : kind, read.size());
     if (!saved) {
         exchange_.list_news(kind, std::move(read));
         return true;
@@ -161,6 +176,15 @@
     return true;
 }
 
+void ListWatch::log_told(ListKind kind, std::size_t entries) {
+    const char* const what = kind == ListKind::kSaved  ? "the known list"
+                             : kind == ListKind::kFull ? "the whole list"
+                                                       : "changes of the list";
+    log_.event(Level::kInfo, "list_told",
+               std::string(what) + ", " + std::to_string(entries) + " entries, " + exchange_.print_list_age(),
+               {{"revision", revision_}});
+}
+
 std::optional<Member> ListWatch::read_member(const parse::Json& json) {
     const auto text = [&](const char* name) -> const std::string* {
         const auto* member = json.member(name);
--- a/src/service/list_watch.hpp
+++ b/src/service/list_watch.hpp
@@ -10,6 +10,7 @@
 #include "parse/json.hpp"
 #include "service/counters.hpp"
 #include "service/exchange.hpp"
+#include "service/line_watch.hpp"
 #include "service/log.hpp"
 #include "service/server_starts.hpp"
 
@@ -51,8 +52,10 @@
     const std::vector<std::string>& zones() const { return zones_; }
 
 private:
-    net::Task follow(bool stream);
-    void start(net::Task& task, bool stream);
+    net::Task follow(bool stream, CallState& state);
+    void start(net::Task& task, CallState& state, bool stream);
+    void ended(const CallState& state);
+    void log_told(ListKind kind, std::size_t entries);
     bool take_object(const std::string& text);
     bool take_list(const parse::Json& list, bool saved);
     static Time age_in(const parse::Json& said);
@@ -70,7 +73,9 @@
     ServerStarts starts_;
     std::string revision_;  // the last one held, as discovery wrote it
     bool wanted_ = false;   // a watch, at some time
-    net::Task watching_;
+    CallState watch_state_;
+    CallState fetch_state_;
+    net::Task watching_;  // behind what it writes to
     net::Task fetching_;
 };
 
--- a/src/service/log.cpp
+++ b/src/service/log.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr net::Moment kSecond = 10'000;
-constexpr int kMostLines = 50;
+constexpr int kMostLines = 50;             // of one event in a second
 constexpr std::size_t kLongestText = 500;  // a line stays well under what a pipe that is ready takes at once
 
 // One write for each line, so that lines of several processes on one pipe stay whole.
@@ -105,13 +105,15 @@
     if (now - second_began_ >= kSecond) {
         const int suppressed = std::exchange(suppressed_, 0);
         second_began_ = now;
-        lines_ = 0;
+        lines_.clear();
         if (suppressed > 0) {
             write(Level::kWarning, "lines_suppressed", std::to_string(suppressed) + " lines suppressed", {});
         }
     }
     pollfd ready{fileno(out_), POLLOUT, 0};
-    if (++lines_ <= kMostLines && poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0)
+    auto counted = lines_.find(event);
+    if (counted == lines_.end()) counted = lines_.emplace(event, 0).first;
+    if (++counted->second <= kMostLines && poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0)
         return write(level, event, text, fields);
     ++suppressed_;
     counters_.add(Count::kLogLinesSuppressed);
--- a/src/service/log.hpp
+++ b/src/service/log.hpp
@@ -1,9 +1,10 @@
-// The log: one event a line on spdlog, so many a second at most, and none while its reader is stuck: a full
-// pipe must not hold up the loop.
+// The log: one event a line on spdlog, so many a second of each event at most, and none while its reader is
+// stuck: a full pipe must not hold up the loop.
 #pragma once
 
 #include <cstdio>
 #include <initializer_list>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -50,7 +51,7 @@
     const LogTerms terms_;
     std::unique_ptr<spdlog::logger> logger_;
     net::Moment second_began_ = 0;
-    int lines_ = 0;
+    std::map<std::string, int, std::less<>> lines_;  // of this second, by event
     int suppressed_ = 0;
 };
 
