--- /dev/null
+++ b/tests/stand_ins/faulty_discovery.hpp
@@ -0,0 +1,150 @@
+// A discovery that refuses, hangs, breaks off or takes its time by chance from a seed, and whose watches can
+// be made silent or ended. Beats come every 2 s, as the protocol has them.
+#pragma once
+
+#include <poll.h>
+
+#include <chrono>
+#include <list>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "stand_ins.hpp"
+
+namespace pinedoor::test {
+
+using Clock = std::chrono::steady_clock;
+
+class FaultyDiscovery {
+public:
+    // What calls meet: shares of them, and how long one takes that is answered or refused.
+    struct Manners {
+        double refused = 0;  // 503
+        double unanswered = 0;
+        double broken_off = 0;  // in the middle of the list
+        std::chrono::milliseconds least_delay{0}, most_delay{0};
+    };
+
+    explicit FaultyDiscovery(std::string list, std::uint32_t seed) : list_(std::move(list)), chance_(seed) {
+        thread_ = std::thread([this] { run(); });
+    }
+    ~FaultyDiscovery() {
+        stop_ = true;
+        thread_.join();
+    }
+    net::Endpoint at() const { return listener_.at(); }
+
+    void behave(const Manners& manners) {
+        const std::lock_guard lock(mutex_);
+        manners_ = manners;
+    }
+    // What is told to those who call from now on; open watches that are not silent are told too.
+    void change(const std::string& list) {
+        const std::lock_guard lock(mutex_);
+        list_ = list;
+        for (auto& call : calls_) {
+            if (call.stage == Stage::kWatching) call.peer.say(chunk(list_));
+        }
+    }
+    void silence_watches() {
+        const std::lock_guard lock(mutex_);
+        for (auto& call : calls_) {
+            if (call.stage == Stage::kWatching) call.stage = Stage::kSilent;
+        }
+    }
+    void end_watches() {
+        const std::lock_guard lock(mutex_);
+        std::erase_if(calls_, [](const auto& call) { return call.stage == Stage::kWatching; });
+    }
+    int calls() const { return made_; }
+    int bad_calls() const { return bad_; }
+    int watching() {
+        const std::lock_guard lock(mutex_);
+        return static_cast<int>(std::count_if(calls_.begin(), calls_.end(),
+                                              [](const auto& c) { return c.stage == Stage::kWatching; }));
+    }
+
+private:
+    enum class Stage { kAsking, kDelayed, kWatching, kSilent, kOver };
+    enum class Fate { kServed, kRefused, kUnanswered, kBrokenOff };
+    struct Call {
+        Peer peer;
+        Stage stage = Stage::kAsking;
+        Fate fate = Fate::kServed;
+        Clock::time_point due;  // of its answer, or of the next beat
+    };
+
+    Fate draw_fate() {
+        const double drawn = std::uniform_real_distribution<>(0, 1)(chance_);
+        if (drawn < manners_.refused) return Fate::kRefused;
+        if (drawn < manners_.refused + manners_.unanswered) return Fate::kUnanswered;
+        if (drawn < manners_.refused + manners_.unanswered + manners_.broken_off) return Fate::kBrokenOff;
+        return Fate::kServed;
+    }
+    void begin(Call& call) {
+        ++made_;
+        call.fate = draw_fate();
+        if (call.fate != Fate::kServed) ++bad_;
+        const auto spread = (manners_.most_delay - manners_.least_delay).count();
+        call.due = Clock::now() + manners_.least_delay +
+                   std::chrono::milliseconds(spread > 0 ? chance_() % static_cast<std::uint32_t>(spread) : 0);
+        call.stage = call.fate == Fate::kUnanswered ? Stage::kSilent : Stage::kDelayed;
+    }
+    void answer(Call& call) {
+        call.stage = Stage::kOver;
+        if (call.fate == Fate::kRefused)
+            return call.peer.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        if (call.fate == Fate::kBrokenOff)
+            return call.peer.say(kStream + chunk(list_.substr(0, list_.size() / 2)));
+        call.peer.say(kStream + chunk(list_));
+        call.stage = Stage::kWatching;
+        call.due = Clock::now() + std::chrono::seconds(2);
+    }
+    void heed(Call& call, short events) {
+        const auto now = Clock::now();
+        if (call.stage == Stage::kAsking && events != 0) {
+            const bool whole = call.peer.read_to("\r\n\r\n").ends_with("\r\n\r\n");
+            return whole ? begin(call) : void(call.stage = Stage::kOver);
+        }
+        if (events != 0 && call.peer.ended()) call.stage = Stage::kOver;
+        if (call.stage == Stage::kDelayed && now >= call.due) answer(call);
+        if (call.stage == Stage::kWatching && now >= call.due) {
+            call.peer.say(chunk("\n"));
+            call.due = now + std::chrono::seconds(2);
+        }
+    }
+    void run() {
+        while (!stop_) {
+            std::vector<pollfd> polled{{listener_.fd(), POLLIN, 0}};
+            {
+                const std::lock_guard lock(mutex_);
+                for (const auto& call : calls_) polled.push_back({call.peer.fd(), POLLIN, 0});
+            }
+            poll(polled.data(), polled.size(), 5);
+            const std::lock_guard lock(mutex_);
+            for (auto& call : calls_) {
+                const auto found = std::find_if(polled.begin(), polled.end(),
+                                                [&](const auto& p) { return p.fd == call.peer.fd(); });
+                heed(call, found == polled.end() ? short{0} : found->revents);
+            }
+            std::erase_if(calls_, [](const auto& call) { return call.stage == Stage::kOver; });
+            if (polled[0].revents != 0) calls_.push_back({listener_.accept(), Stage::kAsking, {}, {}});
+        }
+    }
+
+    Listener listener_{512};
+    std::atomic<bool> stop_ = false;
+    std::atomic<int> made_ = 0;
+    std::atomic<int> bad_ = 0;
+    std::mutex mutex_;
+    std::string list_;
+    Manners manners_;
+    std::mt19937 chance_;
+    std::list<Call> calls_;
+    std::thread thread_;
+};
+
+}  // namespace pinedoor::test
