The list is a lease: what is left of it bounds every silence, call and pause

Cause: a call, a silence and a pause each had a limit of its own, and nothing held their sum to the 6 s after which whatever discovery has counts as told. After failed calls pauses went by the fleet's size: with must_ask_in_ms 10000 and 300 front nodes up to 10 s. Ruled out: lists that came and were not used, attempts that waited for a connection. Change: policy/list_lease decides, without I/O, from the moment discovery was last heard: silence (the 2 s beat and a twelfth of the lease, 2.5 s in place of 3 s), pauses and patience that shrink with what is left, calls beside unanswered ones (four at most, the first that is answered is the watch), the pace after expiry. A list that expired while discovery answers in part is not acted on (503 with Retry-After); while discovery is down it stays in use. SIGHUP does not grant it anew. Why it works: the next call is never more than three eighths of the lease away, a dozen fit into what a silence leaves.

--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -90,6 +91,8 @@
     Time stop_within = 0;
     bool own_agent =
         false;  // asked of an agent that serves this front node alone, and has what is new at once
+    Time told_after = 60'000;  // protocol: whatever discovery has counts as told then
+    Time beat = 20'000;        // protocol: a watch says something so often
 };
 
 struct ClientTerms {
@@ -124,13 +127,17 @@
     Time started = 0;
 };
 
-enum class ListKind : std::uint8_t { kFailed, kChanges, kFull, kSaved };
+// Failed: a call failed or a watch broke. Moved: discovery is at another address, and has been called there.
+enum class ListKind : std::uint8_t { kFailed, kChanges, kFull, kSaved, kMoved };
 
 struct ListNews {
     ListKind kind = ListKind::kFailed;
     std::vector<ListEntry> entries;
     static constexpr Time kOld = 1'000'000'000;
     Time age = kOld;  // kSaved: since it was known to hold, if that is told
+    std::optional<Time> unheard =
+        std::nullopt;               // kFailed, kMoved: since discovery was last heard, where that is known
+    bool answered_in_part = false;  // kFailed: an answer began, and broke off before the list was whole
 };
 
 struct PartArrival {
@@ -261,7 +268,10 @@
     std::string text;
 };
 
-struct WatchList {};
+struct WatchList {
+    Time longest_silence = 0;  // of the watch; a longer one ends it
+    int beside = 0;            // other calls that may be under way meanwhile; with more it is not made
+};
 struct FetchList {};
 
 struct Probe {
--- a/src/policy/list_follower.hpp
+++ b/src/policy/list_follower.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "policy/list_lease.hpp"
 #include "policy/messages.hpp"
 
 namespace pinedoor::policy {
@@ -29,10 +30,15 @@
     void take(const ListNews& news);
 
 private:
-    void call_ended();
+    void call_ended(const ListNews& news);
     void watch_ended();
     void call_refused();
-    Time least_pause() const { return terms_.must_ask_in / 16; }
+    void call();
+    void judge_lease();
+    bool holds_list() const { return !listed_.empty(); }
+    Time least_pause() const {
+        return holds_list() ? lease_.least_pause(inboxes_.now) : terms_.must_ask_in / 16;
+    }
     // To which pauses grow where there are few other front nodes to be spared.
     Time longest_pause() const { return terms_.must_ask_in / 8; }
     Time first_span() const;
@@ -41,9 +47,12 @@
     const ListTerms terms_;
     const Time fleet_span_;  // half of what it takes discovery to serve all front nodes
     KnownList listed_;
+    ListLease lease_;
     bool watching_ = false;
-    Time span_ = 0;  // calls are spread at random over it
+    bool expired_ = false;  // as last logged
+    Time span_ = 0;         // calls are spread at random over it
     Time ask_within_ = 0;
+    Time known_age_ = 0;  // of a known list at the start
     Time ask_at_ = 0;
     Time called_at_ = 0;
     int refused_on_end_ = 0;
--- a/src/policy/messages.hpp
+++ b/src/policy/messages.hpp
@@ -120,8 +120,9 @@
     std::vector<Action> actions;
     std::mt19937 chance;
     Time now = 0;
-    FleetShare share;         // of the fleet's limits; no limit unless told
-    double further_sent = 0;  // since the start
+    FleetShare share;                 // of the fleet's limits; no limit unless told
+    double further_sent = 0;          // since the start
+    bool list_forbids_sends = false;  // its lease has expired
 
     bool may_send_further(std::size_t more) const {
         return share.allows(now, further_sent + static_cast<double>(more));
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -41,6 +41,7 @@
     auto& request = requests_.add(told.id);
     request.told = told;
     request.told.parts.clear();
+    if (inboxes_.list_forbids_sends) return give_up(request);
     const auto& type = type_of(told);
     admission_.request_came(told.parts.size());
     set_times(request, type);
@@ -80,6 +81,7 @@
 void RequestLifecycle::take(const PlacePart& message) {
     const auto [request, part] = requests_.find_part(message.part);
     if (part == nullptr || part->stage != Stage::kWaiting) return;
+    if (inboxes_.list_forbids_sends) return;
     if (request->alone && request->lone != 0) return;
     const auto& type = type_of(request->told);
     if (!may_send(*part, type)) part->stage = Stage::kLost;
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -235,9 +235,9 @@
 }
 
 void Exchange::list_news(ListKind kind, std::vector<Member> members, Time age) {
-    counters_.add(kind == ListKind::kFailed ? Count::kListFailures : Count::kListNews);
-    if (kind != ListKind::kFailed) list_heard_ = scheduler_.now() - std::max<Time>(0, age);
-    ListNews news{kind, {}, age < 0 ? ListNews::kOld : age};
+    counters_.add(Count::kListNews);
+    list_heard_ = scheduler_.now() - std::max<Time>(0, age);
+    ListNews news{kind, {}, age < 0 ? ListNews::kOld : age, {}, false};
     std::set<ServerId> named;
     for (auto& member : members) {
         // A server keeps its id here for as long as it is listed, and whatever address it is listed at.
@@ -263,6 +263,11 @@
     happened(std::move(news));
 }
 
+void Exchange::list_lost(ListKind kind, std::optional<Time> unheard, bool answered_in_part) {
+    if (kind == ListKind::kFailed) counters_.add(Count::kListFailures);
+    happened(ListNews{kind, {}, ListNews::kOld, unheard, answered_in_part});
+}
+
 std::optional<ServerId> Exchange::server_named(const std::string& name) const {
     const auto at = servers_.find(name);
     return at == servers_.end() ? std::nullopt : std::optional(at->second.id);
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -43,7 +43,7 @@
 class Lister {
 public:
     virtual ~Lister() = default;
-    virtual void watch() = 0;
+    virtual void watch(const WatchList& terms) = 0;
     virtual void fetch() = 0;
 };
 
@@ -86,6 +86,9 @@
     std::optional<ServerId> server_named(const std::string& name) const;
 
     void list_news(ListKind kind, std::vector<Member> members, Time age = -1);  // of kSaved; -1: not told
+    // A call for the list failed, a watch ended, or discovery is at another address: kFailed or kMoved.
+    void list_lost(ListKind kind, std::optional<Time> unheard, bool answered_in_part);
+    void list_alive(Time at) { list_heard_ = std::max(list_heard_, at); }  // a watch said that nothing is new
     // What other front nodes say of a server together; of one that is not listed it is passed over.
     void hear(const std::string& server, ServerWord word);
     void hear(DeadlyKey key) { happened(key); }
@@ -145,7 +148,7 @@
     void carry_out(const Fail& fail);
     void carry_out(const SetBell& bell);
     void carry_out(const LogLine& line);
-    void carry_out(const WatchList&) { lister_->watch(); }
+    void carry_out(const WatchList& watch) { lister_->watch(watch); }
     void carry_out(const FetchList&) { lister_->fetch(); }
     void carry_out(const Probe& probe);
 
--- a/src/service/line_watch.cpp
+++ b/src/service/line_watch.cpp
@@ -52,12 +52,10 @@
             if (net::socket_error(connection.fd()) != 0) co_return end(CallEnd::kNoConnection);
             written += connection.write(std::string_view(request).substr(written));
         }
+        bool more_came = false;
         if (waiter.may(net::kRead)) {
             switch (connection.read()) {
-                case net::Stream::Got::kBytes:
-                    state.heard = scheduler.now();
-                    any_came = true;
-                    break;
+                case net::Stream::Got::kBytes: more_came = any_came = true; break;
                 case net::Stream::Got::kNothing: break;
                 default: co_return end(any_came ? CallEnd::kBroken : CallEnd::kNoConnection);
             }
@@ -68,12 +66,13 @@
         if (reader.state() != parse::HttpReader::State::kHead) state.status = reader.status();
         if (state.status != 0 && state.status != 200) co_return end(CallEnd::kRefused);
         const auto came = reader.take_body();
-        if (!came.empty() && words.alive) words.alive();
         objects.feed(came);
         while (const auto object = objects.next()) {
             if (!take(*object)) co_return end(CallEnd::kUnusable);
             ++state.objects;
         }
+        if (more_came) state.heard = scheduler.now();
+        if (!came.empty() && state.objects > 0 && words.alive) words.alive();
         if (objects.bad()) co_return end(CallEnd::kMalformed);
         if (reader.state() == parse::HttpReader::State::kDone) co_return end(CallEnd::kWhole);
         co_await waiter.wait(net::kRead | (written < request.size() ? net::kWrite : 0U),
--- a/src/service/line_watch.hpp
+++ b/src/service/line_watch.hpp
@@ -30,7 +30,7 @@
 struct CallState {
     CallEnd end = CallEnd::kUnderWay;
     int status = 0;           // of HTTP; 0 before it came
-    net::Moment heard = 0;    // when bytes last came; the call's begin before that
+    net::Moment heard = 0;    // when something whole last came, or any bytes of the first answer
     std::size_t objects = 0;  // that were taken
 };
 
@@ -40,7 +40,7 @@
     bool stream = false;          // the call goes on until the other end ends it; else its answer is the end
     std::size_t longest = 0;      // bytes of an object
     net::Moment silence = 0;      // after which the call is given up
-    std::function<void()> alive;  // told whenever something came, blank lines too, if it is there
+    std::function<void()> alive;  // told whenever something whole came, blank lines too, if it is there
     CallState* state = nullptr;   // kept up to date, if it is there; must outlive the call
 };
 
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -9,9 +9,6 @@
 namespace pinedoor::service {
 namespace {
 
-// A watch says something every 2 s; 6 s after the fact its news counts as told anyway, so that after so long
-// a silence there is time to ask again.
-constexpr Time kSilence = 30'000;
 // A whole list of the largest fleet that is stated, 3,200 servers, with room for long names and indentation.
 constexpr std::size_t kLongestList = 4 * 1024 * 1024;
 constexpr double kMostMs = 1e13;
@@ -29,20 +26,22 @@
         log_.event(Level::kWarning, "known_list_refused", "the known list cannot be used");
 }
 
-void ListWatch::watch() {
+void ListWatch::watch(const WatchList& terms) {
     wanted_ = true;
-    if (keeper_ == nullptr) start(watching_, watch_state_, true);
+    if (keeper_ != nullptr) return;
+    if (terms.longest_silence > 0) longest_silence_ = terms.longest_silence;
+    start(true, terms.beside);
 }
 void ListWatch::fetch() {
-    if (keeper_ == nullptr) start(fetching_, fetch_state_, false);
+    if (keeper_ == nullptr) start(false, 0);
 }
 
 // What is under way ends without word. The whole list is asked for: its revisions may be another's.
 void ListWatch::call(net::Endpoint source) {
     source_ = source;
     revision_.clear();
-    watching_ = net::Task{};
-    start(watching_, watch_state_, true);
+    drop_calls();
+    start(true, 0);
 }
 
 void ListWatch::move_to(net::Endpoint discovery) {
@@ -53,23 +52,26 @@
     // Whether revisions mean the same there is not known: without one the whole list is told, so nothing that
     // changed while nobody was asked is missed.
     revision_.clear();
-    const bool fetching = !fetching_.done();
-    watching_ = net::Task{};
-    fetching_ = net::Task{};
-    if (wanted_) watch();
-    if (fetching) fetch();
+    drop_calls();
+    if (!wanted_) return;
+    start(true, 0);
+    exchange_.list_lost(ListKind::kMoved, unheard(), false);
 }
 
-// A call that is under way goes on: it ends by itself, and then says so.
-void ListWatch::start(net::Task& task, CallState& state, bool stream) {
-    if (!task.done()) return;
+void ListWatch::drop_calls() { calls_.clear(); }
+
+// Calls that are under way go on: each ends by itself, and then says so.
+void ListWatch::start(bool stream, int beside) {
+    std::erase_if(calls_, [](const Call& call) { return call.task.done(); });
+    if (calls_.size() > static_cast<std::size_t>(beside)) return;
     log_.event(Level::kInfo, "list_call",
                "the list is asked for at " + net::to_text(source_) + ", " + exchange_.print_list_age(),
-               {{"revision", revision_}});
-    task = follow(stream, state);
-    task.start([this, &state](std::exception_ptr failure) {
+               {{"revision", revision_}, {"beside", std::to_string(calls_.size())}});
+    auto& call = calls_.emplace_back();
+    call.task = follow(stream, call);
+    call.task.start([this, &call](std::exception_ptr failure) {
         if (failure) counters_.add(Count::kTasksThrew);
-        ended(state);
+        ended(call.state);
     });
 }
 
@@ -81,18 +83,38 @@
         what + " ended: " + std::string(name_of(state.end)) + status + ", " + exchange_.print_list_age(),
         {{"reason", std::string(name_of(state.end))},
          {"silent_ms", std::to_string((scheduler_.now() - state.heard) / 10)}});
-    exchange_.list_news(ListKind::kFailed, {});
+    const bool in_part = state.objects == 0 && state.status == 200 && state.end != CallEnd::kUnderWay;
+    exchange_.list_lost(ListKind::kFailed, unheard(), in_part);
     if (keeper_ != nullptr) keeper_->ended();
 }
 
-net::Task ListWatch::follow(bool stream, CallState& state) {
+std::optional<Time> ListWatch::unheard() const {
+    return heard_ == 0 ? std::nullopt : std::optional<Time>(scheduler_.now() - heard_);
+}
+
+net::Task ListWatch::follow(bool stream, Call& call) {
     std::string target = "/discovery/hosts";
     if (stream) target += "?stream=1" + (revision_.empty() ? "" : "&index=" + revision_);
-    std::function<void()> alive;
-    if (keeper_ != nullptr && source_ == discovery_) alive = [this] { keeper_->still({}); };
+    const auto alive = [this] {
+        heard_ = scheduler_.now();
+        exchange_.list_alive(heard_);
+        if (keeper_ != nullptr && source_ == discovery_) keeper_->still({});
+    };
+    const Time silence = keeper_ != nullptr ? kSilenceOfPeers : longest_silence_;
     return watch_lines(scheduler_,
-                       {source_, std::move(target), stream, kLongestList, kSilence, std::move(alive), &state},
-                       [this](const std::string& line) { return take_object(line); });
+                       {source_, std::move(target), stream, kLongestList, silence, alive, &call.state},
+                       [this, &call](const std::string& text) { return take_answer(call, text); });
+}
+
+// The first call that is answered is the watch from then on; the others are of no more use.
+bool ListWatch::take_answer(Call& call, const std::string& text) {
+    if (!take_object(text)) return false;
+    if (call.state.objects == 0) keep_only(call);
+    return true;
+}
+
+void ListWatch::keep_only(const Call& call) {
+    std::erase_if(calls_, [&call](const Call& each) { return &each != &call; });
 }
 
 Time ListWatch::age_in(const parse::Json& said) {
--- a/src/service/list_watch.hpp
+++ b/src/service/list_watch.hpp
@@ -1,6 +1,7 @@
 // Follows discovery's list, at the exchange's word, on connections of its own.
 #pragma once
 
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -39,7 +40,7 @@
               net::Endpoint discovery, std::vector<std::string> zones);
 
     void take_known(const parse::Json& known);  // the list as this front node had it last
-    void watch() override;
+    void watch(const WatchList& terms) override;
     void fetch() override;
     // Discovery is at another address now. What is under way at the old one ends without word, and is asked
     // for at the new one at once; the list held stays in use.
@@ -52,9 +53,21 @@
     const std::vector<std::string>& zones() const { return zones_; }
 
 private:
-    net::Task follow(bool stream, CallState& state);
-    void start(net::Task& task, CallState& state, bool stream);
+    struct Call {
+        CallState state;
+        net::Task task;  // behind what it writes to
+    };
+
+    net::Task follow(bool stream, Call& call);
+    void start(bool stream, int beside);
     void ended(const CallState& state);
+    void drop_calls();
+    void keep_only(const Call& call);
+    bool take_answer(Call& call, const std::string& text);
+    std::optional<Time> unheard() const;
+    // A member that is asked for the list says something each second.
+    static constexpr Time kSilenceOfPeers = 30'000;
+
     void log_told(ListKind kind, std::size_t entries);
     bool take_object(const std::string& text);
     bool take_list(const parse::Json& list, bool saved);
@@ -73,10 +86,9 @@
     ServerStarts starts_;
     std::string revision_;  // the last one held, as discovery wrote it
     bool wanted_ = false;   // a watch, at some time
-    CallState watch_state_;
-    CallState fetch_state_;
-    net::Task watching_;  // behind what it writes to
-    net::Task fetching_;
+    Time longest_silence_ = kSilenceOfPeers;
+    net::Moment heard_ = 0;  // when discovery last said something whole on a watch; 0: never
+    std::list<Call> calls_;
 };
 
 }  // namespace pinedoor::service
--- /dev/null
+++ b/tests/fleet/list_lease_test.cpp
@@ -0,0 +1,99 @@
+// The lease on the list: the module that decides alone, in its own time.
+#include "policy/list_lease.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "script.hpp"
+
+namespace {
+
+using namespace pinedoor;
+using test::Script;
+
+constexpr ListTerms kTerms{true, 100'000, 2'500};
+constexpr int kWholly = 1;
+
+ListNews failed(Time unheard, bool answered_in_part) {
+    ListNews news{ListKind::kFailed, {}};
+    news.unheard = unheard;
+    news.answered_in_part = answered_in_part;
+    return news;
+}
+
+TEST_CASE(
+    "once its list has expired while discovery answers in part, a front node sheds until one is whole") {
+    Script s;
+    s.list_terms = kTerms;
+    s.list("A0 B1").pass(5'000).play({failed(0, false)}).pass(3'000).play({failed(3'000 * 10, true)});
+    s.pass(2'900).quietly().arrive(1, kWholly, {1}).end({100}).quietly();
+    s.pass(200).quietly().arrive(2, kWholly, {1});
+    CHECK(s.trace().find("push back 2") != std::string::npos);
+    CHECK(s.trace().find("send") == std::string::npos);
+    s.list("A0 B1").quietly().arrive(3, kWholly, {1});
+    CHECK(s.trace().find("send 300") != std::string::npos);
+}
+
+TEST_CASE("while discovery is down or cut off an expired list stays in use") {
+    Script s;
+    s.list_terms = kTerms;
+    s.list("A0 B1").pass(5'000).play({failed(0, false)});
+    for (int i = 0; i < 10; ++i) s.pass(1'000).play({failed((i + 1) * 10'000, false)});
+    s.quietly().arrive(1, kWholly, {1});
+    CHECK(s.trace().find("send 100") != std::string::npos);
+}
+
+TEST_CASE("a change of discovery's address does not grant the lease anew") {
+    Script s;
+    s.list_terms = kTerms;
+    s.list("A0 B1").pass(5'000);
+    ListNews moved{ListKind::kMoved, {}};
+    moved.unheard = 20'000;
+    s.play({moved}).pass(3'000).play({failed(50'000, true)}).pass(1'100).quietly().arrive(1, kWholly, {1});
+    CHECK(s.trace().find("push back 1") != std::string::npos);
+}
+
+// Whatever calls do, the next one is made so soon that, with the time in which a silent one is given up, a
+// list comes within the lease once discovery answers again.
+TEST_CASE("whatever sequence of failures a list meets, the sum of the limits stays within its lease") {
+    rc::check([] {
+        const auto must_ask_in = *rc::gen::element<Time>(10'000, 16'000, 100'000, 600'000);
+        const int front_nodes = *rc::gen::element(1, 20, 300, 900);
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+        FrontNode node(*rc::gen::arbitrary<std::uint64_t>(), NodePlace{0, front_nodes, 0, 50},
+                       {{1'000, 4'000, Repeat::kRetriable, 0, 1, 0, 1, 1, 0.9, 0}}, ShardRing{1, 1, 1, 0},
+                       SendTerms{3, true, true, 2'500}, FurtherSendTerms{}, ColdTerms{},
+                       ListTerms{true, must_ask_in, 2'500}, ClientTerms{}, {}, HintTerms{});
+        Time now = 10'000;
+        Time last_call = now;
+        Time last_failure = now;
+        const auto turn = [&](const std::vector<Event>& events) {
+            for (const auto& action : node.turn(now, events)) {
+                const auto* call = std::get_if<WatchList>(&action);
+                if (call == nullptr) continue;
+                RC_ASSERT(call->longest_silence < ListTerms{}.told_after / 2);
+                last_call = now;
+            }
+        };
+        const ListEntry entry{{1, 1}, 0, 0, ServerState::kReady, 1, 0};
+        turn({ListNews{ListKind::kFull, {entry}}});
+        Time unheard = 0;
+        for (const int step : steps) {
+            for (int i = 0; i < 20; ++i) {
+                now += 500;
+                turn({});
+                // A silent call is followed by another beside it; a refused one after a pause.
+                const Time since = now - std::max(last_call, last_failure);
+                if (unheard > 0) RC_ASSERT(since <= ListTerms{}.told_after * 3 / 8 + 1'500);
+            }
+            if (step == 0) continue;
+            unheard = step == 1 ? 25'000 : unheard + 10'000;
+            last_failure = now;
+            turn({failed(unheard, step == 3)});
+        }
+    });
+}
+
+}  // namespace
