A watch on which half a change trickles counts as silent, and is opened anew

What callers would see: requests to a server that left the list, for as long as bytes of the change dribble in. Cause: any byte set the watch's silence back, so a change that never became whole kept the watch and the list alive (class: a limit that is renewed by what does not bring news). Change: on a watch only whole objects and blank lines count as heard. The first answer may come in pieces as before; calls beside it bound that. Evidence: the new test in discovery_trouble_test fails without the change (the watch is never opened anew within 8 s) and passes with it.

--- a/src/parse/json_objects.hpp
+++ b/src/parse/json_objects.hpp
@@ -18,6 +18,8 @@
     // The next object that is there whole, without what stood before it. Nothing: more has to come, or the
     // text is bad.
     std::optional<std::string> next();
+    // No object has begun without its end.
+    bool is_between() const { return depth_ == 0 && held_.empty(); }
     // What stands between two objects is no white space, or an object is longer than the bound: nothing that
     // comes can be used any more.
     bool bad() const { return bad_; }
--- a/src/service/line_watch.cpp
+++ b/src/service/line_watch.cpp
@@ -71,8 +71,10 @@
             if (!take(*object)) co_return end(CallEnd::kUnusable);
             ++state.objects;
         }
-        if (more_came) state.heard = scheduler.now();
-        if (!came.empty() && state.objects > 0 && words.alive) words.alive();
+        // Half a change says nothing, however slowly it grows.
+        const bool is_whole = state.objects > 0 && objects.is_between();
+        if (more_came && (state.objects == 0 || is_whole)) state.heard = scheduler.now();
+        if (!came.empty() && is_whole && words.alive) words.alive();
         if (objects.bad()) co_return end(CallEnd::kMalformed);
         if (reader.state() == parse::HttpReader::State::kDone) co_return end(CallEnd::kWhole);
         co_await waiter.wait(net::kRead | (written < request.size() ? net::kWrite : 0U),
--- a/tests/discovery_trouble_test.cpp
+++ b/tests/discovery_trouble_test.cpp
@@ -2,9 +2,11 @@
 // what is known, discovery is not asked in a storm, and what it tells in the end is used.
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <fstream>
 #include <string>
+#include <thread>
 
 #include "stand_ins.hpp"
 
@@ -114,6 +116,32 @@
     CHECK(fleet.program.counter("list_failures") == failures + 1);
 }
 
+TEST_CASE("a watch on which half a change trickles is dead, and is opened anew") {
+    TwoServers fleet;
+    Listener discovery(64, fleet.discovery_port.at());
+    fleet.start();
+    auto watch = discovery.accept();
+    watch.read_to("\r\n\r\n");
+    watch.say(kStream + chunk(list_object(2, true, {{"s-1", fleet.known.at()}}) + "\n"));
+    REQUIRE(fleet.program.counter_at("list_news", 2) == 2);
+    const auto change = fleet.later_list(3);
+    std::atomic<bool> reopened = false;
+    std::thread trickle([&] {
+        for (std::size_t i = 0; i < change.size() / 2 && !reopened; ++i) {
+            watch.say(chunk(change.substr(i, 1)));
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        }
+    });
+    auto anew = discovery.accept();
+    CHECK(anew.read_to(" HTTP").ends_with("index=2 HTTP"));
+    reopened = true;
+    trickle.join();
+    anew.say(kStream + chunk(change));
+    REQUIRE(fleet.program.counter_at("list_news", 3) == 3);
+    fleet.client = fleet.program.client();  // the first one has stood idle
+    fleet.serve_by_later();
+}
+
 TEST_CASE("of several configurations in a row the last one holds, and requests notice none of them") {
     constexpr int kMoves = 6;
     TwoServers fleet;
