After standing still a front node reads its watch before it decides or gives it up

What callers would see: after a pause of the process (SIGSTOP, a stopped machine) the first requests go by the list from before it, and a good watch is thrown away. Cause: a turn handled events in the order in which they were read, so a request that came before the change of the list went first; and a watch's silence was judged before its bytes were read. Change: news of the list go first in a turn; silence is judged after reading. Evidence: the new test (a stop of 4 s, request first, change second) fails without it: the request is refused after attempts at the old server, and the watch counts as failed; it passes with it.

--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -53,6 +53,9 @@
     next_turn_ = now + turn_;
     counters_.add(Count::kTurns);
     auto events = std::exchange(events_, {});
+    // Guards a process that stood still: what the list says by now counts for the requests that came with it.
+    std::stable_partition(events.begin(), events.end(),
+                          [](const Event& event) { return std::holds_alternative<ListNews>(event); });
     while (!bells_.empty() && bells_.begin()->first <= now) {
         events.emplace_back(Bell{bells_.begin()->second});
         bells_.erase(bells_.begin());
--- a/src/service/line_watch.cpp
+++ b/src/service/line_watch.cpp
@@ -47,7 +47,6 @@
     const auto end = [&](CallEnd how) { state.end = how; };
     for (;;) {
         if (connection.broken()) co_return end(any_came ? CallEnd::kBroken : CallEnd::kNoConnection);
-        if (scheduler.now() - state.heard >= words.silence) co_return end(CallEnd::kSilent);
         if (written < request.size() && waiter.may(net::kWrite)) {
             if (net::socket_error(connection.fd()) != 0) co_return end(CallEnd::kNoConnection);
             written += connection.write(std::string_view(request).substr(written));
@@ -77,6 +76,8 @@
         if (!came.empty() && is_whole && words.alive) words.alive();
         if (objects.bad()) co_return end(CallEnd::kMalformed);
         if (reader.state() == parse::HttpReader::State::kDone) co_return end(CallEnd::kWhole);
+        // Judged after reading: what came while this process stood still counts.
+        if (scheduler.now() - state.heard >= words.silence) co_return end(CallEnd::kSilent);
         co_await waiter.wait(net::kRead | (written < request.size() ? net::kWrite : 0U),
                              state.heard + words.silence);
     }
--- a/tests/discovery_trouble_test.cpp
+++ b/tests/discovery_trouble_test.cpp
@@ -142,6 +142,24 @@
     fleet.serve_by_later();
 }
 
+TEST_CASE("after standing still a front node reads its watch before it decides or gives the watch up") {
+    TwoServers fleet;
+    Listener discovery(64, fleet.discovery_port.at());
+    fleet.start();
+    auto watch = discovery.accept();
+    watch.read_to("\r\n\r\n");
+    watch.say(kStream + chunk(list_object(2, true, {{"s-1", fleet.known.at()}}) + "\n"));
+    REQUIRE(fleet.program.counter_at("list_news", 2) == 2);
+    fleet.program.kill(SIGSTOP);
+    fleet.ask();  // first, so that it is read first
+    watch.say(chunk(fleet.later_list(3)));
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    fleet.program.kill(SIGCONT);
+    fleet.link = fleet.later.accept();
+    fleet.answer();
+    CHECK(fleet.program.counter("list_failures") == 0);
+}
+
 TEST_CASE("of several configurations in a row the last one holds, and requests notice none of them") {
     constexpr int kMoves = 6;
     TwoServers fleet;
