Calls for the list come no closer than shares of the time in which discovery must be asked

Cause: pauses and patience went by the lease alone. A refusal ends what an answer that broke off had said: down since then, traffic goes on (test in list_lease_test). Six calls may be unanswered, not four.

--- a/src/policy/list_follower.cpp
+++ b/src/policy/list_follower.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int kServed = 200;       // calls, in twice the stated time
-constexpr int kMostBeside = 3;     // calls that may be unanswered when another is made
+constexpr int kMostBeside = 5;     // calls that may be unanswered when another is made
 constexpr int kMostCounted = 100;  // refusals: from then on a pause is at its longest anyway
 
 }  // namespace
@@ -76,7 +76,10 @@
         lease_.heard(inboxes_.now - *news.unheard);
     else if (was_watching)
         lease_.heard(inboxes_.now);
-    if (news.answered_in_part) lease_.answered_in_part(inboxes_.now);
+    if (news.answered_in_part)
+        lease_.answered_in_part(inboxes_.now);
+    else
+        lease_.refused();
     if (news.kind == ListKind::kMoved)
         ask_at_ = inboxes_.now + lease_.patience(inboxes_.now);
     else if (was_watching)
--- a/src/policy/list_lease.cpp
+++ b/src/policy/list_lease.cpp
@@ -6,12 +6,18 @@
 namespace {
 
 // Shares of the lease, or of what is left of it.
-constexpr Time kBeatSlack = 12;        // on top of the time between two beats
-constexpr Time kPausesLeft = 8;        // pauses shrink as expiry nears, so that several calls fit in
-constexpr Time kPatiencesLeft = 5;     // and so does the wait for an answer
-constexpr Time kLeastPauseShare = 24;  // of the lease
-constexpr Time kPaceShare = 8;         // after expiry a pause is one to three eighths of the lease
-constexpr Time kDoubtedShare = 3;      // of the lease: by so much the age of a known list counts at most
+constexpr Time kBeatSlack = 12;     // on top of the time between two beats
+constexpr Time kPausesLeft = 8;     // pauses shrink as expiry nears, so that several calls fit in
+constexpr Time kPatiencesLeft = 5;  // and so does the wait for an answer
+constexpr Time kLeastPaceShare =
+    8;  // pauses are no longer than these, however seldom discovery need be asked
+constexpr Time kPaceShare = 4;
+constexpr Time kDoubtedShare = 3;  // by so much the age of a known list counts at most
+
+// Shares of the stated time in which discovery must be asked, which tells how many calls it bears.
+constexpr Time kLeastPauseStated = 16;
+constexpr Time kLeastPauseExpired = 4;
+constexpr Time kPauseStated = 8;
 
 }  // namespace
 
@@ -30,19 +36,23 @@
 
 Time ListLease::longest_silence() const { return terms_.beat + terms_.told_after / kBeatSlack; }
 
+Time ListLease::sparing_pause() const {
+    return std::min(terms_.must_ask_in / kPauseStated, terms_.told_after / kPaceShare);
+}
+
 Time ListLease::longest_pause(Time now) const {
     const Time left_now = left(now);
-    return left_now > 0 ? left_now / kPausesLeft : terms_.told_after * 2 / kPaceShare;
+    return left_now > 0 ? std::max(left_now / kPausesLeft, sparing_pause()) : terms_.told_after / kPaceShare;
 }
 
 Time ListLease::least_pause(Time now) const {
-    if (is_expired(now)) return std::min(terms_.must_ask_in / 4, terms_.told_after / kPaceShare);
-    return std::min(terms_.must_ask_in / 16, terms_.told_after / kLeastPauseShare);
+    const Time stated = terms_.must_ask_in / (is_expired(now) ? kLeastPauseExpired : kLeastPauseStated);
+    return std::min(stated, terms_.told_after / kLeastPaceShare);
 }
 
 Time ListLease::patience(Time now) const {
     const Time left_now = left(now);
-    return std::max(least_pause(now), (left_now > 0 ? left_now : terms_.told_after) / kPatiencesLeft);
+    return std::max(sparing_pause(), (left_now > 0 ? left_now : terms_.told_after) / kPatiencesLeft);
 }
 
 Time ListLease::first_span(Time age) const {
--- a/src/policy/list_lease.hpp
+++ b/src/policy/list_lease.hpp
@@ -14,6 +14,8 @@
     void heard(Time at);
     // Discovery answered a call, though not with a whole list.
     void answered_in_part(Time at) { answered_in_part_ = at; }
+    // It refused a call, or could not be reached: it may be down since it last answered.
+    void refused() { answered_in_part_ = kNever; }
 
     bool is_granted() const { return heard_ != kNever; }  // a list is held
     Time left(Time now) const;                            // 0: expired, or never granted
@@ -33,6 +35,9 @@
     Time first_span(Time age) const;
 
 private:
+    // Crowded discovery spends its time on refusals where calls come closer.
+    Time sparing_pause() const;
+
     static constexpr Time kNever = std::numeric_limits<Time>::min();
 
     ListTerms terms_;
--- a/tests/fleet/list_lease_test.cpp
+++ b/tests/fleet/list_lease_test.cpp
@@ -45,6 +45,15 @@
     CHECK(s.trace().find("send 100") != std::string::npos);
 }
 
+TEST_CASE("discovery that broke an answer off and is down since then does not stop traffic") {
+    Script s;
+    s.list_terms = kTerms;
+    s.list("A0 B1").pass(5'000).play({failed(0, false)}).pass(1'000).play({failed(10'000, true)});
+    for (int i = 2; i < 7; ++i) s.pass(1'000).play({failed(i * 10'000, false)});
+    s.quietly().arrive(1, kWholly, {1});
+    CHECK(s.trace().find("send 100") != std::string::npos);
+}
+
 TEST_CASE("a change of discovery's address does not grant the lease anew") {
     Script s;
     s.list_terms = kTerms;
