Requests in the log: one id from arrival to end at level debug, with reasons; shutdown as an event

Without it a refusal's reason, and which attempts a request made, could not be read from the logs. Change: request_taken, request_not_taken, attempt, attempt_ended, request_ended with the request's X-Txn and a typed reason that the module gives with each refusal and failure; connection_closed with its cause; shutdown at the usual level. No decision changes; nothing is formatted while the level is off.

--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -250,13 +250,17 @@
     bool whole = false;
 };
 
+enum class GiveUpReason : std::uint8_t { kTimeOver, kPartsLost, kNoHope, kNoCredit, kDeadly, kListExpired };
+
 struct PushBack {
     Id multiget = 0;
     Time wait = 0;  // 0: no advice
+    GiveUpReason reason = GiveUpReason::kTimeOver;
 };
 
 struct Fail {
     Id multiget = 0;
+    GiveUpReason reason = GiveUpReason::kTimeOver;
 };
 
 struct SetBell {
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -41,7 +41,7 @@
     auto& request = requests_.add(told.id);
     request.told = told;
     request.told.parts.clear();
-    if (inboxes_.list_forbids_sends) return give_up(request);
+    if (inboxes_.list_forbids_sends) return give_up(request, GiveUpReason::kListExpired);
     const auto& type = type_of(told);
     admission_.request_came(told.parts.size());
     set_times(request, type);
@@ -179,7 +179,7 @@
     if (request.lone == part) {
         inboxes_.actions.emplace_back(LogLine{"given up: servers died under each part sent"});
         remember_deadly(request);
-        give_up(request);
+        give_up(request, GiveUpReason::kDeadly);
         return true;
     }
     request.alone = true;
@@ -238,7 +238,7 @@
     const auto selection = order_by_hope(request, type);
     // What cannot be answered in time is pushed back before any part is sent: parts that end too late to
     // serve an answer still take their servers' time, and under load that makes the next ones late too.
-    if (selection.hopeful + kRounding < type.least_share) return give_up(request);
+    if (selection.hopeful + kRounding < type.least_share) return give_up(request, GiveUpReason::kNoHope);
     double covered = 0;
     auto affordable = admission_.parts_allowed();
     for (const auto& ranked : selection.parts) {
@@ -249,7 +249,7 @@
             continue;
         }
         covered += part.told.weight;
-        if (affordable-- == 0) return give_up(request);
+        if (affordable-- == 0) return give_up(request, GiveUpReason::kNoCredit);
         inboxes_.requests.push_back(PlacePart{part.told.id});
     }
     if (request.parts.empty()) review(request);
@@ -296,7 +296,7 @@
 
 void RequestLifecycle::review(MultigetState& request) {
     if (request.awaiting_step && inboxes_.now < request.answer_by) return;
-    if (request.awaiting_step) return give_up(request);
+    if (request.awaiting_step) return give_up(request, GiveUpReason::kTimeOver);
 
     const auto& type = type_of(request.told);
     const auto tally = request.tally();
@@ -306,13 +306,15 @@
     const bool floor_in = tally.all_in || tally.in + kRounding >= type.least_share;
     if (whole || (floor_in && tally.parts_open == 0)) return answer(request, type, whole);
     if (tally.parts_open == 0 || tally.in + tally.pending + kRounding < type.least_share)
-        return give_up(request);
-    if (inboxes_.now >= request.answer_by) return floor_in ? answer(request, type, false) : give_up(request);
+        return give_up(request, GiveUpReason::kPartsLost);
+    if (inboxes_.now >= request.answer_by)
+        return floor_in ? answer(request, type, false) : give_up(request, GiveUpReason::kTimeOver);
     if (inboxes_.now < request.step_ends) return;
     // In time with what is in beats whole but late; what is worth nothing late is given up at once.
     if (floor_in && type.short_importance * tally.in > type.late_importance)
         return answer(request, type, false);
-    if (type.late_importance <= 0 && inboxes_.now >= request.budget_ends) give_up(request);
+    if (type.late_importance <= 0 && inboxes_.now >= request.budget_ends)
+        give_up(request, GiveUpReason::kTimeOver);
 }
 
 void RequestLifecycle::answer(MultigetState& request, const OpType& type, bool whole) {
@@ -325,7 +327,7 @@
 }
 
 // A pushback says that asking again is harmless: only where that is so. Else the multiget has failed.
-void RequestLifecycle::give_up(MultigetState& request) {
+void RequestLifecycle::give_up(MultigetState& request, GiveUpReason reason) {
     const auto& type = type_of(request.told);
     const bool harmless = type.repeat == Repeat::kRetriable || request.all_proven_not_run();
     if (!request.repeat) repeats_.given_up(request.told.op_type);
@@ -333,9 +335,9 @@
     const Time most = clients_.longest_retry_after;
     const Time wait = clients_.retry_after ? most - inboxes_.random_part(most / 2) : 0;
     if (harmless && request.step == 1)
-        inboxes_.actions.emplace_back(PushBack{request.told.id, wait});
+        inboxes_.actions.emplace_back(PushBack{request.told.id, wait, reason});
     else
-        inboxes_.actions.emplace_back(Fail{request.told.id});
+        inboxes_.actions.emplace_back(Fail{request.told.id, reason});
     forget(request);
 }
 
--- a/src/policy/request_lifecycle.hpp
+++ b/src/policy/request_lifecycle.hpp
@@ -53,7 +53,7 @@
     void cancel_rest(const PartState& part);
     void review(MultigetState& request);
     void answer(MultigetState& request, const OpType& type, bool whole);
-    void give_up(MultigetState& request);
+    void give_up(MultigetState& request, GiveUpReason reason);
     void drop_parts(MultigetState& request);
     void forget(MultigetState& request);
 
--- a/src/service/counters.cpp
+++ b/src/service/counters.cpp
@@ -49,6 +49,8 @@
 
 }  // namespace
 
+std::string_view name_of(Count count) { return kNames[static_cast<std::size_t>(count)]; }
+
 std::string Counters::print() const {
     std::string out;
     for (std::size_t i = 0; i < values_.size(); ++i) append_line(out, kNames[i], values_[i]);
--- a/src/service/counters.hpp
+++ b/src/service/counters.hpp
@@ -54,6 +54,8 @@
     kEnd
 };
 
+std::string_view name_of(Count count);  // as `/counters` gives it
+
 class Counters {
 public:
     void add(Count which, std::uint64_t by = 1) { values_[static_cast<std::size_t>(which)] += by; }
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -7,6 +7,14 @@
 namespace pinedoor::service {
 namespace {
 
+std::string_view name_of(const Ending& ending) {
+    switch (ending.kind) {
+        case Ending::Kind::kAnswered: return ending.whole ? "answered whole" : "answered in part";
+        case Ending::Kind::kPushedBack: return "refused";
+        default: return "failed";
+    }
+}
+
 // Proven by the protocol (docs/architecture.md, outcomes of sends); all else may have run.
 bool never_ran(Outcome outcome) {
     return outcome == Outcome::kFull || outcome == Outcome::kNoConnection || outcome == Outcome::kNeverSent;
@@ -18,7 +26,7 @@
                    Counters& counters, Log& log)
     : scheduler_(scheduler), node_(std::move(node)), turn_(std::max<Time>(1, turn)),
       most_open_(static_cast<std::size_t>(most_open)), most_sends_(most_sends), counters_(counters),
-      log_(log), waiter_(scheduler) {}
+      log_(log), request_log_(log), waiter_(scheduler) {}
 
 void Exchange::join(Caller& caller, Lister& lister, Routes* routes) {
     caller_ = &caller;
@@ -102,7 +110,11 @@
 }
 
 TakenRequest Exchange::ask(MultigetAsked asked, std::function<void(Ending)> ended) {
-    if (const auto could = could_take(asked.name); could != Acceptance::kTaken) return {could, 0};
+    if (const auto could = could_take(asked.name); could != Acceptance::kTaken) {
+        request_log_.not_taken(asked.name, could == Acceptance::kNoRoom ? "no room" : "name in use");
+        return {could, 0};
+    }
+    request_log_.taken(asked.name, asked.parts.size());
     counters_.add(Count::kTaken);
     MultigetArrival told{new_id(),     ++last_number_,  asked.op_type,         asked.tenant,
                          asked.repeat, asked.not_after, std::move(asked.parts)};
@@ -130,6 +142,7 @@
     const auto multiget = static_cast<Id>(ticket);
     const auto at = multigets_.find(multiget);
     if (at == multigets_.end()) return {};
+    request_log_.ended(at->second.name, "left by its client", "");
     auto parts = at->second.tells_parts ? fates(at->second) : store::PartFates{};
     forget(at);
     counters_.add(Count::kClientsGone);
@@ -155,7 +168,7 @@
     return open;
 }
 
-void Exchange::end(Id multiget, Ending ending) {
+void Exchange::end(Id multiget, Ending ending, std::string_view reason) {
     const auto at = multigets_.find(multiget);
     if (at == multigets_.end()) return;  // its client left in the same turn
     if (ending.kind == Ending::Kind::kAnswered) {
@@ -164,6 +177,7 @@
             if (part.in && !part.moved) ending.values.emplace_back(part.shard, std::move(part.value));
         }
     }
+    request_log_.ended(at->second.name, name_of(ending), reason);
     if (at->second.tells_parts) ending.parts = fates(at->second);
     forget(at).ended(std::move(ending));
 }
@@ -183,6 +197,7 @@
 void Exchange::over(const PartCall& call, Outcome outcome, std::vector<double> load, std::string value) {
     const auto found = take_out(call, outcome);
     if (!found) return;
+    request_log_.attempt_ended(call, outcome);
     const auto part = *found;
     if (part != parts_.end()) {
         part->second.ran |= outcome == Outcome::kReturned;
@@ -300,6 +315,7 @@
     counters_.add(Count::kSends);
     out_.emplace(std::pair{call.part, call.send}, call.name);
     hold_name(call.name, 1);
+    request_log_.attempt(call);
     if (call.send >= most_sends_ || call.until <= now) return over(call, Outcome::kNeverSent);
     caller_->call(std::move(call));
 }
@@ -315,7 +331,7 @@
     Ending ending;
     ending.kind = Ending::Kind::kAnswered;
     ending.whole = answer.whole;
-    end(answer.multiget, std::move(ending));
+    end(answer.multiget, std::move(ending), "");
 }
 
 void Exchange::carry_out(const PushBack& push_back) {
@@ -323,12 +339,12 @@
     Ending ending;
     ending.kind = Ending::Kind::kPushedBack;
     ending.wait = push_back.wait;
-    end(push_back.multiget, std::move(ending));
+    end(push_back.multiget, std::move(ending), name_of(push_back.reason));
 }
 
 void Exchange::carry_out(const Fail& fail) {
     counters_.add(Count::kFailed);
-    end(fail.multiget, {});
+    end(fail.multiget, {}, name_of(fail.reason));
 }
 
 void Exchange::carry_out(const SetBell& bell) {
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,7 @@
 #include "service/counters.hpp"
 #include "service/log.hpp"
 #include "service/request_handler.hpp"
+#include "service/request_log.hpp"
 
 namespace pinedoor::service {
 
@@ -139,7 +141,7 @@
     std::size_t open_now() const { return multigets_.size() + parts_open_; }
     store::PartFates fates(const Open& open) const;
     Open forget(std::map<Id, Open>::iterator at);
-    void end(Id multiget, Ending ending);
+    void end(Id multiget, Ending ending, std::string_view reason);
 
     void carry_out(const Send& send);
     void carry_out(const CallOff& call_off);
@@ -159,6 +161,7 @@
     const int most_sends_;
     Counters& counters_;
     Log& log_;
+    RequestLog request_log_;
     Caller* caller_ = nullptr;
     Lister* lister_ = nullptr;
     Routes* routes_ = nullptr;  // null: parts are as the client asked for them
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -114,6 +114,7 @@
 }
 
 void FrontDoor::stop() {
+    log_.event(Level::kInfo, "shutdown", "asked to end: what has been taken is answered first");
     clients_.stop();
     if (limits_) limits_->stop();
     if (peers_) peers_->leave();
--- a/src/service/log.cpp
+++ b/src/service/log.cpp
@@ -98,9 +98,11 @@
 
 Log::~Log() = default;
 
+bool Log::writes(Level level) const { return logger_->should_log(to_spdlog(level)); }
+
 void Log::event(Level level, std::string_view event, std::string_view text,
                 std::initializer_list<Field> fields) {
-    if (!logger_->should_log(to_spdlog(level))) return;
+    if (!writes(level)) return;
     const auto now = scheduler_.now();
     if (now - second_began_ >= kSecond) {
         const int suppressed = std::exchange(suppressed_, 0);
--- a/src/service/log.hpp
+++ b/src/service/log.hpp
@@ -36,6 +36,8 @@
     Log(std::FILE* out, const net::Scheduler& scheduler, Counters& counters, LogTerms terms = {});
     ~Log();
 
+    bool writes(Level level) const;  // so that lines that nobody wants need not be made
+
     // `event` names what happened, in snake case, and stays the same from release to release; `text` says it
     // to a person.
     void event(Level level, std::string_view event, std::string_view text,
--- /dev/null
+++ b/src/service/request_log.hpp
@@ -0,0 +1,49 @@
+// The life of each request in the log, at level debug: taken or refused, its attempts and how each ended, its
+// answer and why it was refused. Each line bears the request's name as its client gave it. Nothing is
+// formatted while the level is off.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "logic.hpp"
+#include "service/log.hpp"
+
+namespace pinedoor::service {
+
+struct PartCall;
+
+class RequestLog {
+public:
+    explicit RequestLog(Log& log) : log_(log) {}
+
+    void taken(const std::string& request, std::size_t parts) {
+        if (is_on()) write("request_taken", request, std::to_string(parts) + " parts", "");
+    }
+    void not_taken(const std::string& request, std::string_view reason) {
+        if (is_on()) write("request_not_taken", request, "refused before any decision", reason);
+    }
+    void ended(const std::string& request, std::string_view how, std::string_view reason) {
+        if (is_on()) write("request_ended", request, how, reason);
+    }
+    void attempt(const PartCall& call) {
+        if (is_on()) write_attempt("attempt", call, call_kind(call));
+    }
+    void attempt_ended(const PartCall& call, Outcome outcome) {
+        if (is_on()) write_attempt("attempt_ended", call, name_of(outcome));
+    }
+
+private:
+    bool is_on() const { return log_.writes(Level::kDebug); }
+    static std::string_view call_kind(const PartCall& call);
+    static std::string_view name_of(Outcome outcome);
+    void write(std::string_view event, const std::string& request, std::string_view text,
+               std::string_view reason);
+    void write_attempt(std::string_view event, const PartCall& call, std::string_view reason);
+
+    Log& log_;
+};
+
+std::string_view name_of(GiveUpReason reason);
+
+}  // namespace pinedoor::service
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -584,6 +584,12 @@
 void ServerSide::finish(Connection& connection) {
     close(connection, connection.cause);
     counters_.add(connection.cause);
+    if (log_.writes(Level::kDebug)) {
+        log_.event(Level::kDebug, "connection_closed", "a connection to a server ended",
+                   {{"server", std::to_string(connection.server.id.address)},
+                    {"reason", std::string(name_of(connection.cause))},
+                    {"attempts", std::to_string(connection.sends)}});
+    }
     const auto unwritten = connection.lost ? Outcome::kNeverSent : Outcome::kNoConnection;
     for (const auto& call : std::exchange(connection.waiting, {})) {
         for (const auto& key : call) end_send(key, unwritten);
