--- a/src/policy/list_lease.cpp
+++ b/src/policy/list_lease.cpp
@@ -9,8 +9,8 @@
 constexpr Time kBeatSlack = 12;     // on top of the time between two beats
 constexpr Time kPausesLeft = 8;     // pauses shrink as expiry nears, so that several calls fit in
 constexpr Time kPatiencesLeft = 5;  // and so does the wait for an answer
-constexpr Time kLeastPaceShare =
-    8;  // pauses are no longer than these, however seldom discovery need be asked
+// However seldom discovery need be asked, the fixed and the random part of a pause are no longer than these.
+constexpr Time kLeastPaceShare = 8;
 constexpr Time kPaceShare = 4;
 constexpr Time kDoubtedShare = 3;  // by so much the age of a known list counts at most
 
