--- a/review/tools/stand_in.cpp
+++ b/review/tools/stand_in.cpp
@@ -280,8 +280,9 @@
             return;
         }
         ++held->second.position;
-        record(server.name + " RUNS " + id + " '" + part.query + "' of shard " + std::to_string(part.shard) +
-               " epoch " + std::to_string(part.epoch));
+        record(server.name + " RUNS " + part.id + " '" + part.query + "' of shard " +
+               std::to_string(part.shard) + " epoch " + std::to_string(part.epoch) + " keys " + first + ".." +
+               last);
         part.done_at = now_ms() + server.work_ms;
         connection.running.push_back(part);
     }
