--- a/review/tools/common.sh
+++ b/review/tools/common.sh
@@ -1,5 +1,5 @@
 # What the cases share; sourced by their run.sh from the repository's root. $here is the case's folder.
-# Everything that is started is ended by process id at the exit.
+# Everything that is started is ended by process id at the exit. All waits are bounded: a run ends within 120 s.
 TROUBLE="${TROUBLE:-1}"
 stand_in=build/review/stand_in
 pids=""
@@ -14,18 +14,19 @@
 trap 'exit 2' INT TERM
 cannot() { note "the case could not run: $*"; exit 2; }
 note() { echo "$(date +%s%3N) $*" >>"$scratch/record.txt"; echo "$*"; }
-ctl() { "$stand_in" ctl "$control" "$@"; }
-ask() { timeout 20 "$stand_in" ask "$node" "$scratch" "$@"; }
+ctl() { timeout 5 "$stand_in" ctl "$control" "$@"; }
+ask() { timeout 8 "$stand_in" ask "$node" "$scratch" "$@"; }
 # Waits for up to $1 tenths of a second until the rest, a command, succeeds.
 wait_for() {
     tries=$1; shift
-    while [ "$tries" -gt 0 ]; do
+    while [ "$tries" -gt 0 ] && [ "$SECONDS" -lt 100 ]; do
         if "$@" >/dev/null 2>&1; then return 0; fi
         tries=$((tries - 1)); sleep 0.1
     done
     return 1
 }
 in_record() { grep -q -- "$1" "$scratch/record.txt"; }
+wait_mover() { wait_for 200 ended "$mover" && wait "$mover"; }  # 20 s at most; its exit code
 ended() { ! kill -0 "$1" 2>/dev/null; }
 start_world() {  # MAP COUNT
     [ -x build/pinedoor ] && [ -x "$stand_in" ] || { echo "build the project and review/build.sh first"; exit 2; }
@@ -81,4 +82,4 @@
     pids="$pids $mover"
     note "mover $name started: apply $*"
 }
-shards() { build/pinedoor shards --sqlite "$scratch/moves.db" --discovery "127.0.0.1:$discovery" "$@"; }
+shards() { timeout 10 build/pinedoor shards --sqlite "$scratch/moves.db" --discovery "127.0.0.1:$discovery" "$@"; }
