A key is free only if no part may have run, whatever the op type

Callers saw: a retriable multiget with an Idempotency-Key was refused (503) after one of its parts had run; asked again with the key, as the refusal invites to, the part ran a second time under the one key (docs/store.md, promise 3).

Cause: frees_key() freed the key of every refused multiget of a retriable op type, whatever was known of its parts. A retriable op may run twice, but the key is what the client buys against that. Evidence: the store's record before the change is "refused" with the fates 5r 1m, and the claim of the key is gone; the decision module's refusal is right by itself.

Fix: the key is free only after a refusal of which no part may have run. A multiget with a key that would be refused after a part may have run is told and recorded as failed (500), since a refusal invites a retry that would not be run. New counter keys_refusals_failed.

--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -142,12 +142,11 @@
                                        settings.op_type_names(),
                                        settings.tenant_names(),
                                        {},
-                                       {},
                                        terms.retry_after ? terms.longest_retry_after : 0};
-    for (const auto& type : settings.op_types())
-        recorded.retriable.push_back(type.repeat == RetrySafety::kRetriable);
+    std::vector<bool> retriable;
+    for (const auto& type : settings.op_types()) retriable.push_back(type.repeat == RetrySafety::kRetriable);
     try {
-        recorded.recorded = store::which(recorded.op_types, recorded.retriable, installation.store.op_types);
+        recorded.recorded = store::which(recorded.op_types, retriable, installation.store.op_types);
     } catch (const std::invalid_argument& error) {
         throw stated::ConfigError(error.what());
     }
--- a/src/store/asked_again.cpp
+++ b/src/store/asked_again.cpp
@@ -32,16 +32,16 @@
         case OutcomeKind::kAnswered:
         case OutcomeKind::kAnsweredInPart:
             return holder.answer.empty() ? RepeatVerdict::kAnswerNotKept : RepeatVerdict::kAnswer;
-        case OutcomeKind::kRefused:  // some part may have run; otherwise the key would be free
+        case OutcomeKind::kRefused:  // recorded by an older version; some part may have run
         case OutcomeKind::kFailed: break;
     }
     return RepeatVerdict::kFailed;
 }
 
-bool frees_key(OutcomeKind fate, const PartOutcomes& parts, bool retriable) {
+bool frees_key(OutcomeKind fate, const PartOutcomes& parts) {
     if (fate != OutcomeKind::kRefused) return false;
-    return retriable || std::all_of(parts.begin(), parts.end(),
-                                    [](const auto& part) { return part.second == PartOutcome::kNeverSent; });
+    return std::all_of(parts.begin(), parts.end(),
+                       [](const auto& part) { return part.second == PartOutcome::kNeverSent; });
 }
 
 std::vector<bool> which(const std::vector<std::string>& op_types, const std::vector<bool>& retriable,
@@ -57,8 +57,8 @@
     return recorded;
 }
 
-OutcomeKind outcome_after_disconnect(const PartOutcomes& parts) {
-    return frees_key(OutcomeKind::kRefused, parts, false) ? OutcomeKind::kRefused : OutcomeKind::kFailed;
+OutcomeKind outcome_without_answer(const PartOutcomes& parts) {
+    return frees_key(OutcomeKind::kRefused, parts) ? OutcomeKind::kRefused : OutcomeKind::kFailed;
 }
 
 }  // namespace pinedoor::store
--- a/src/store/asked_again.hpp
+++ b/src/store/asked_again.hpp
@@ -34,16 +34,18 @@
 RepeatVerdict judge_repeat(const KeyHolder& holder, std::string_view fingerprint);
 
 // Returns whether a multiget with this outcome leaves its key free for another attempt. If any part may have
-// run, the key is not freed, because a second attempt would run it twice. A retriable op may run twice, so
-// any refusal frees its key.
-bool frees_key(OutcomeKind fate, const PartOutcomes& parts, bool retriable);
+// run, the key is not freed, because a second attempt would run it twice. This holds for retriable op types
+// too: they may run twice under two names, but not under one key.
+bool frees_key(OutcomeKind fate, const PartOutcomes& parts);
 
 // Returns for each op type whether it is recorded: the named ones, or all that are not retriable if none is
 // named. Throws std::invalid_argument for a name that is not an op type.
 std::vector<bool> which(const std::vector<std::string>& op_types, const std::vector<bool>& retriable,
                         const std::vector<std::string>& named);
 
-// Returns the outcome to record if the client disconnects before the multiget ends.
-OutcomeKind outcome_after_disconnect(const PartOutcomes& parts);
+// Returns the outcome of a multiget that ends without an answer, because its client disconnects or because a
+// multiget with a key is refused: refused if no part may have run, so that a retry with the key runs it, and
+// failed otherwise.
+OutcomeKind outcome_without_answer(const PartOutcomes& parts);
 
 }  // namespace pinedoor::store
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -176,7 +176,6 @@
     if (pending_names_.contains(request.name)) return {Acceptance::kNameInUse, 0};
     const auto number = ++last_number_;
     auto& multiget = multigets_[number];
-    multiget.retriable = config_.retriable[op_type];
     multiget.intent = {
         {config_.node, incarnation_, number},
         config_.op_types[op_type],
@@ -210,7 +209,7 @@
     const auto parts = inner_.leave(std::exchange(multiget.inner_ticket, 0));
     const auto finished = std::move(multiget);
     multigets_.erase(at);
-    record_outcome(finished, outcome_after_disconnect(parts), parts, "client left", {}, false);
+    record_outcome(finished, outcome_without_answer(parts), parts, "client left", {}, false);
     return parts;
 }
 
@@ -262,13 +261,26 @@
     // A refusal or a failure is delivered at once, without waiting for its record.
     const auto finished = std::move(multiget);
     multigets_.erase(at);
-    const auto outcome_kind =
-        ending.kind == MultigetResult::Kind::kPushedBack ? OutcomeKind::kRefused : OutcomeKind::kFailed;
     const auto parts = ending.parts;
+    auto outcome_kind =
+        ending.kind == MultigetResult::Kind::kPushedBack ? OutcomeKind::kRefused : OutcomeKind::kFailed;
+    const bool has_key = !finished.intent.key.empty();
+    if (has_key && outcome_kind == OutcomeKind::kRefused) {
+        outcome_kind = outcome_without_answer(parts);
+        if (outcome_kind == OutcomeKind::kFailed) fail_refusal(ending);
+    }
     if (finished.on_ended) finished.on_ended(std::move(ending));
     record_outcome(finished, outcome_kind, parts, {}, {}, false);
 }
 
+// A refusal invites a retry, but under a key that may have run, the retry would not run.
+void RecordKeeper::fail_refusal(MultigetResult& ending) {
+    ++counters_.refusals_failed;
+    ending.kind = MultigetResult::Kind::kFailed;
+    ending.wait = 0;
+    ending.told = "a part of the request may have run; it is not run again under this Idempotency-Key";
+}
+
 void RecordKeeper::record_outcome(const PendingMultiget& multiget, OutcomeKind outcome_kind,
                                   const PartOutcomes& parts, std::string note, std::string answer,
                                   bool answered) {
@@ -277,7 +289,7 @@
                     intent.tenant,
                     intent.key,
                     outcome_kind,
-                    frees_key(outcome_kind, parts, multiget.retriable),
+                    frees_key(outcome_kind, parts),
                     scheduler_.now(),
                     format_part_outcomes(parts),
                     std::move(note),
@@ -597,6 +609,7 @@
     add("keys_answered_again", counters_.recorded_answers);
     add("keys_in_conflict", counters_.conflicts);
     add("keys_in_doubt", counters_.in_doubt_answers);
+    add("keys_refusals_failed", counters_.refusals_failed);
     add("spill_entries", spill_level_.entries);
     add("spill_bytes", spill_level_.bytes);
     add("spill_appended", counters_.spilled_entries);
--- a/src/store/keeper.hpp
+++ b/src/store/keeper.hpp
@@ -41,9 +41,8 @@
     std::string node;
     std::vector<std::string> op_types;
     std::vector<std::string> tenants;
-    std::vector<bool> recorded;   // by op type
-    std::vector<bool> retriable;  // by op type
-    Time max_retry_after = 0;     // upper limit of a retry delay sent to clients, 0.1 ms; 0: none is sent
+    std::vector<bool> recorded;  // by op type
+    Time max_retry_after = 0;    // upper limit of a retry delay sent to clients, 0.1 ms; 0: none is sent
 };
 
 class RecordKeeper : public service::RequestHandler {
@@ -76,7 +75,6 @@
         service::Ticket inner_ticket = 0;
         bool proceeded = false;
         Intent intent;
-        bool retriable = false;
         service::MultigetResult ending;
     };
     using EntryRefs = std::vector<EntryRef>;
@@ -108,6 +106,7 @@
     template <class Job>
     void run_on_spill_thread(Job job, std::function<void()> on_done);
     void on_exchange_ended(RecordNumber number, service::MultigetResult ending);
+    void fail_refusal(service::MultigetResult& ending);
     void record_outcome(const PendingMultiget& multiget, OutcomeKind outcome_kind, const PartOutcomes& parts,
                         std::string note, std::string answer, bool answered);
     service::MultigetResult rejection_ending(const PendingMultiget& multiget,
@@ -151,7 +150,7 @@
                       spilled_entries = 0, replayed_entries = 0, unknown_writes = 0, rejected_writes = 0,
                       rejected_multigets = 0, answers_before_record = 0, recorded_answers = 0, conflicts = 0,
                       in_doubt_answers = 0, answers_not_kept = 0, lost_entries = 0, set_aside_entries = 0,
-                      spill_failures = 0, pruned_records = 0, store_opens = 0;
+                      spill_failures = 0, pruned_records = 0, store_opens = 0, refusals_failed = 0;
     } counters_;
     // Used by the spill thread only, except for recovery at the start.
     std::shared_ptr<Spill> spill_;
--- a/tests/store/record_test.cpp
+++ b/tests/store/record_test.cpp
@@ -2,10 +2,13 @@
 // then contains.
 #include <doctest/doctest.h>
 
+#include <array>
 #include <chrono>
+#include <functional>
 
 #include "stand_ins.hpp"
 #include "stand_ins/postgres.hpp"
+#include "store/asked_again.hpp"
 
 namespace {
 
@@ -93,6 +96,65 @@
     CHECK(node.program.store("verify") == "nothing amiss\n");
 }
 
+// Guards against a second run of a part under one key: the key of a refused retriable multiget was free.
+TEST_CASE("a key is not run again once a part of its retriable multiget has run, however that one ended") {
+    Node node(kSqlite);
+    node.program.with("\"min_share\":[0.5,1.0]", "\"min_share\":[1.0,1.0]");
+    node.start();
+    int ms = 4'000;
+    std::function<void()> end_other_part;
+    std::string outcome =
+        "500 a part of the request may have run; it is not run again under this Idempotency-Key\n";
+    SUBCASE("the other part fails") {
+        end_other_part = [&] { node.link.reply("t1.2", "failed"); };
+    }
+    SUBCASE("the server of the other part crashes") {
+        end_other_part = [&] { node.link.reset(); };
+    }
+    SUBCASE("the other part is refused as never run") {
+        end_other_part = [&] { node.link.reply("t1.2", "full"); };
+    }
+    SUBCASE("the other part is not answered in time") {
+        ms = 300;
+        end_other_part = [] {};
+    }
+    SUBCASE("the client disconnects") {
+        end_other_part = [&] { node.client = Peer{}; };
+        outcome = "";
+    }
+    node.client.say(post("again", "t1", asks({1, 2}), ms, keyed("k")));
+    node.link = node.server.accept();
+    CHECK(node.link.frame() == "St1.1 1 1\nqt1.2 2 1\nq");
+    node.link.reply("t1.1", "done", "x");
+    end_other_part();
+    if (!outcome.empty()) CHECK(node.client.answer() == outcome);
+    CHECK(node.program.wait_for_counter("records_ended", 1) == 1);
+    node.client = node.program.client();
+    node.client.say(post("again", "t2", asks({1, 2}), 4'000, keyed("k")));
+    CHECK(node.client.answer() == "500 the first request failed, and is not run again\n");
+    CHECK(node.program.counter("sends") == 2);
+    CHECK(node.program.counter("keys_refusals_failed") == (outcome.empty() ? 0 : 1));
+    CHECK(node.list_states() == "failed n0/1/1\n");
+}
+
+// Guards against a key that is free although a part may have run, for every outcome and every fate of two
+// parts.
+TEST_CASE("a key is free again only after a refusal of which no part may have run") {
+    using namespace pinedoor::store;
+    constexpr std::array kFates{PartOutcome::kNeverSent, PartOutcome::kMayHaveRun, PartOutcome::kRan};
+    for (const auto first : kFates) {
+        for (const auto second : kFates) {
+            const PartOutcomes parts{{1, first}, {2, second}};
+            const bool never_ran = first == PartOutcome::kNeverSent && second == PartOutcome::kNeverSent;
+            for (const auto fate :
+                 {OutcomeKind::kAnswered, OutcomeKind::kAnsweredInPart, OutcomeKind::kFailed})
+                CHECK_FALSE(frees_key(fate, parts));
+            CHECK(frees_key(OutcomeKind::kRefused, parts) == never_ran);
+            CHECK(frees_key(outcome_without_answer(parts), parts) == never_ran);
+        }
+    }
+}
+
 TEST_CASE(
     "a key in progress is a conflict; after a kill it is in doubt and not run until an operator resolves "
     "it") {
