A move that was being undone when its mover died is undone by the next one

Operators saw: the old owner of a shard died behind its fence, the move went to undo, its mover was killed, the owner came back, and a new `pinedoor shards apply` took the move up at undo and asked no box anything. The fence stood for good, every multiget that must not run twice and has a part in the shard was refused, and no other plan was taken.

Cause: MoveExecutor::start_move did not start the Mover of a move at undo.

The same end by another way, found beside it: a mover read the list of servers once and asked a box that was not listed then, or moved to another address, never again, in any step. Map and list are fetched anew each second while a box does not answer.

--- a/src/placement/mover.cpp
+++ b/src/placement/mover.cpp
@@ -33,10 +33,15 @@
     return std::nullopt;
 }
 
-std::vector<Action> Mover::start(Time now) {
+std::vector<Action> Mover::start(Time now, bool abort_requested) {
     now_ = now;
     // A saved step is durable. Answers received before a restart are lost, so its requests are sent again.
     step_saved_ = move_.step != MoveStep::kPrepare;
+    if (abort_requested && can_undo()) {
+        enter_step(MoveStep::kUndo);
+        return std::exchange(actions_, {});
+    }
+    if (abort_requested) on(AbortRequested{});
     if (!step_saved_) actions_.emplace_back(Keep{move_});
     send_requests();
     return std::exchange(actions_, {});
--- a/src/placement/mover.hpp
+++ b/src/placement/mover.hpp
@@ -174,8 +174,9 @@
 public:
     Mover(Move move, MoverConfig terms) : config_(terms), move_(move) {}
 
-    // Starts a new move, or resumes a saved one from its step.
-    std::vector<moving::Action> start(Time now);
+    // Starts a new move, or resumes a saved one from its step. If an abort was requested before, a move that
+    // can be undone is undone without a request of an earlier step.
+    std::vector<moving::Action> start(Time now, bool abort_requested = false);
     std::vector<moving::Action> take(Time now, const moving::Event& event);
 
     const Move& move() const { return move_; }
--- a/src/tool/shard_carrier.cpp
+++ b/src/tool/shard_carrier.cpp
@@ -19,7 +19,9 @@
 
 constexpr int kPollIntervalMs = 5;
 constexpr Time kRequestCheckInterval = 1'000;  // between checks for operators' requests, 0.1 ms
-constexpr Time kRenewalsPerLease = 3;          // renewals within one lease duration
+constexpr Time kFleetRefreshInterval =
+    10'000;                            // between fetches of map and list while boxes do not answer, 0.1 ms
+constexpr Time kRenewalsPerLease = 3;  // renewals within one lease duration
 
 bool is_cut(MoveKind kind) { return kind == MoveKind::kSplit || kind == MoveKind::kMerge; }
 
@@ -104,6 +106,18 @@
     fleet_ = fetch_fleet(config_.discovery, config_.path, names_, config_.request_timeout_ms);
 }
 
+// A box that did not answer may be back at another address, or be listed only now.
+void MoveExecutor::refresh_fleet_after_failure() {
+    if (!request_failed_ || now() < next_fleet_refresh_) return;
+    next_fleet_refresh_ = now() + kFleetRefreshInterval;
+    request_failed_ = false;
+    try {
+        refresh_fleet();
+    } catch (const CommandError&) {
+        request_failed_ = true;  // discovery is away too: the view is kept, and fetched again later
+    }
+}
+
 bool MoveExecutor::run() {
     journal_.init();
     if (!journal_.acquire_lease(config_.who, config_.lease))
@@ -130,6 +144,7 @@
         }
         apply_operator_requests();
         check_pressure();
+        refresh_fleet_after_failure();
         for (const auto id : scheduler_.begin()) start_move(id);
         for (auto& [id, active] : active_moves_) {
             if (!active.mover || active.wake_times.empty() || *active.wake_times.begin() > now()) continue;
@@ -163,10 +178,7 @@
         journal_.note(id, "the shard is not in the map any more");
         active.aborted = true;
     }
-    // The abort comes before any request to a box, because a move may finish within one call.
-    if (active.aborted) handle_event(active, AbortRequested{});
-    if (active.mover->move().step != MoveStep::kUndo && !active.mover->ended())
-        run_actions(active, active.mover->start(now()));
+    run_actions(active, active.mover->start(now(), active.aborted));
 }
 
 // Runs the actions in order; an action that completes at once may append further ones.
@@ -255,7 +267,10 @@
 bool MoveExecutor::request_box(const ActiveMove& active, const std::string& box, const char* verb,
                                const Shard& shard, std::uint64_t& value, std::uint64_t upto) {
     const auto found = fleet_.boxes.find(box);
-    if (found == fleet_.boxes.end()) return false;
+    if (found == fleet_.boxes.end()) {
+        request_failed_ = true;
+        return false;
+    }
     auto& connection =
         connections_.try_emplace(box + '@' + net::to_text(found->second), found->second).first->second;
     std::ostringstream command;
@@ -263,6 +278,7 @@
             << print_key(shard.first) << ' ' << print_key(shard.last) << ' ' << upto;
     const auto response = connection.request(command.str(), config_.request_timeout_ms);
     crash_points_.pass(std::string("asked-") + verb);
+    if (!response) request_failed_ = true;
     if (!response || !response->accepted) return false;
     value = response->value;
     return true;
--- a/src/tool/shard_carrier.hpp
+++ b/src/tool/shard_carrier.hpp
@@ -82,6 +82,7 @@
     bool request_owner_of_parents(const ActiveMove& active, const char* verb, std::uint64_t& value);
     bool drop_parents(const ActiveMove& active);
     void refresh_fleet();
+    void refresh_fleet_after_failure();
     std::vector<placement::Step> unpublished_steps(const ActiveMove& active) const;
 
     void execute(ActiveMove& active, const placement::moving::Keep& keep);
@@ -109,6 +110,8 @@
     std::vector<placement::MoveId> finished_;  // removed after the current iteration
     placement::Time next_pressure_check_ = 0;
     placement::Time next_request_check_ = 0;
+    placement::Time next_fleet_refresh_ = 0;
+    bool request_failed_ = false;  // since the last refresh, a box was not listed or did not answer
     std::uint64_t last_taken_ = 0, last_refused_ = 0;
     bool has_baseline_ = false;
     bool all_done_ = true;
--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -54,9 +54,10 @@
         shards[1].replicas = {{1, Role::kOwner}};
         return ShardMap::of(shards);
     }
+    // A command that does not end within 60 s is ended, with 124.
     CommandResult shards(const std::string& words, const std::string& crash_at = "") const {
         const auto command = (crash_at.empty() ? "" : "PINEDOOR_CRASH_AT=" + crash_at + ' ') +
-                             PINEDOOR_PROGRAM + " shards --sqlite " + folder.path +
+                             "timeout 60 " + PINEDOOR_PROGRAM + " shards --sqlite " + folder.path +
                              "/journal.db --discovery " + pinedoor::net::to_text(discovery.at()) + ' ' +
                              words + " 2>&1";
         CommandResult result;
@@ -102,6 +103,26 @@
 )";
         return path;
     }
+    void schedule_split() const {
+        shards("split 1 " + print_key(Gatherer::keys_of(2, kSplits).first + 12'345));
+    }
+    std::vector<store::JournalMove> open_moves() const {
+        store::SqliteDb db(folder.path + "/journal.db", "", 1'000);
+        return store::MoveJournal(db).moves(true);
+    }
+    // The first open move that is at this step; 0: none.
+    MoveId open_move(MoveStep step) const {
+        for (const auto& each : open_moves()) {
+            if (each.move.step == step) return each.move.id;
+        }
+        return 0;
+    }
+    store::JournalMove journaled(MoveId id) const {
+        for (auto& each : open_moves()) {
+            if (each.move.id == id) return each;
+        }
+        return {};
+    }
     std::string ask(const std::string& op_type, const std::string& name, const std::vector<int>& splits) {
         client.say(post(op_type, name, asks(splits, op_type == "once" ? "once" : "sum")));
         return client.answer();
@@ -244,6 +265,81 @@
     CHECK(fixture.ask("once", "t2", {2}) == whole_answer({2}));
 }
 
+// Guards against a fence that stands for good: a move was at undo in the journal, and a new mover did not go
+// on.
+TEST_CASE("a move is undone by the next mover if its mover is killed during the undo") {
+    for (const bool split : {true, false}) {
+        for (const bool aborted : {true, false}) {
+            for (const char* point : {"kept-undo", "asked-unfence", "keep-undone"}) {
+                CAPTURE(split);
+                CAPTURE(aborted);
+                CAPTURE(std::string(point));
+                ShardsFixture fixture;
+                if (split) fixture.schedule_split();
+                CHECK(fixture.shards("apply --lease-ms 100 " + (split ? "" : fixture.fleet()), "asked-fence")
+                          .code == -SIGKILL);
+                const auto id = fixture.open_move(MoveStep::kFence);
+                const auto shard = fixture.journaled(id).move.shard;
+                CHECK(fixture.boxes.guard(1, shard).fenced());
+                // Without an abort, the move is undone since its fence has stood for too long.
+                if (aborted)
+                    fixture.shards("abort " + std::to_string(id));
+                else
+                    fixture.boxes.set_down(1, true);
+                usleep(150'000);
+                std::thread revives([&] {
+                    usleep(aborted ? 0 : 2'500'000);
+                    fixture.boxes.set_down(1, false);
+                });
+                CHECK(fixture.shards("apply --lease-ms 100", point).code == -SIGKILL);
+                CHECK(fixture.open_move(MoveStep::kUndo) == id);
+                revives.join();
+                const auto result = fixture.resume_apply();
+                CHECK_MESSAGE(result.code == 3, result.text);
+                CHECK(fixture.shards("history --open").text.find("undo") == std::string::npos);
+                CHECK(!fixture.boxes.guard(1, shard).fenced());
+                fixture.client = fixture.program->client();  // the first connection was idle for too long
+                CHECK(fixture.ask("once", "t", {shard == 1 ? 2 : 8}) == whole_answer({shard == 1 ? 2 : 8}));
+                CHECK(fixture.boxes.count_repeated_runs("once") == 0);
+            }
+        }
+    }
+}
+
+// Guards against a move that stands still because its mover read the list before a box came back to it.
+TEST_CASE("a mover that starts while a box is not listed, or listed elsewhere, goes on once it is listed") {
+    for (const char* point : {"kept-fence", "kept-undo", "kept-switch", "kept-drain", "kept-retire"}) {
+        for (const bool listed_elsewhere : {true, false}) {
+            CAPTURE(std::string(point));
+            CAPTURE(listed_elsewhere);
+            ShardsFixture fixture;
+            const bool undo = std::string(point) == "kept-undo";
+            CHECK(fixture.shards("apply --lease-ms 100 " + fixture.fleet(), undo ? "asked-fence" : point)
+                      .code == -SIGKILL);
+            if (undo) {
+                fixture.shards("abort " + std::to_string(fixture.open_move(MoveStep::kFence)));
+                usleep(150'000);
+                CHECK(fixture.shards("apply --lease-ms 100", point).code == -SIGKILL);
+            }
+            const auto all = fixture.boxes.listed();
+            auto without = all;
+            without.erase(without.begin());
+            const Listener nobody;  // accepts no connection in time
+            if (listed_elsewhere) without.push_back({"s-1", nobody.at()});
+            fixture.discovery.list(without);
+            std::thread relists([&] {
+                usleep(1'000'000);
+                fixture.discovery.list(all);
+            });
+            const auto result = fixture.resume_apply();
+            relists.join();
+            CHECK_MESSAGE(result.code == (undo ? 3 : 0), result.text);
+            for (const ShardId shard : {1, 2}) CHECK(!fixture.boxes.guard(1, shard).fenced());
+            if (!undo) fixture.check_emptied();
+        }
+    }
+}
+
 TEST_CASE("the new owner fails right after the map is published: the move waits, nothing runs twice") {
     for (const int published : {1, 2, 3}) {
         for (const std::size_t box : {2U, 3U}) {
