A move that the map refuses is undone and leaves no fence

Operators saw: a merge scheduled while a plan's moves went on fenced both shards after those had put their readers on unlike boxes. Discovery refused it for ever (409), the move stood at switch, abort was refused, every multiget that must not run twice was refused on both shards, and no other plan was taken. Nothing had failed.

Cause, two gaps: whether the map allows a move was looked at when it was scheduled and never again; and the Mover had no way back from a kept switch, since it took it for one that may be published.

Fix: a move that begins is checked against the map of now (its shards, its owner, every step) and undone before any fence if the map refuses it. At the switch the same check is made before each POST: changes are posted for one version, so what the newest map refuses was not published and cannot be by a late request; if what the move replaces is still in the map, it is undone. A discovery that refuses what the map allows (4xx) ends the move after the longest fence, if every POST was answered. Own is asked only once the map is published, so no box owns what is undone. An undo lifts the fence of a parent that is no longer in the map (a split, then a merge of the same shard), and leaves the data of a box that holds the shard by the map.

--- a/src/placement/mover.cpp
+++ b/src/placement/mover.cpp
@@ -74,11 +74,11 @@
                 actions_.emplace_back(RequestFence{});
             break;
         case MoveStep::kSwitch:
-            // Both are requested at once: activating `to` before publishing the map would lengthen the time
-            // during which front nodes are refused. Either order is safe, since only `to` runs parts of the
-            // new epoch.
-            if (!published_) actions_.emplace_back(Publish{});
-            actions_.emplace_back(RequestOwn{});
+            // `to` must not own the shard before the map is published: the map may still refuse the change.
+            if (published_)
+                actions_.emplace_back(RequestOwn{});
+            else
+                actions_.emplace_back(Publish{});
             break;
         case MoveStep::kDrain: actions_.emplace_back(RequestDrained{}); break;
         case MoveStep::kRetire: actions_.emplace_back(RequestDrop{move_.from}); break;
@@ -126,7 +126,14 @@
 }
 
 void Mover::on(const Published&) {
-    if (move_.step == MoveStep::kSwitch) published_ = true;
+    if (move_.step != MoveStep::kSwitch || !step_saved_ || published_) return;
+    published_ = true;
+    send_requests();
+}
+
+// No request to own was sent yet, so the old owner may resume.
+void Mover::on(const PublishRefused&) {
+    if (move_.step == MoveStep::kSwitch && step_saved_ && !published_) enter_step(MoveStep::kUndo);
 }
 
 void Mover::on(const Owns&) {
--- a/src/placement/mover.hpp
+++ b/src/placement/mover.hpp
@@ -10,7 +10,7 @@
 //   fence    | from: stop running parts             | `from` has stopped        |
 //            | to: fetch writes up to that position | `to` has all of them      | yes
 //   switch   | map: pass ownership                  | the map is published      |
-//            | to: run parts from the new epoch on  | `to` confirms             | no: epoch may be published
+//            | to: run parts from the new epoch on  | `to` confirms             | only if the map refuses it
 //   drain    | from: are any parts still running?   | none are                  | no
 //   retire   | from: drop the shard                 | it is dropped             | no
 //   undo     | from: resume; to: drop the shard     | both have                 | -
@@ -114,6 +114,8 @@
 };
 // The map with the new owner is published.
 struct Published {};
+// The change cannot be published: the map does not allow it, and certainly contains nothing of it.
+struct PublishRefused {};
 // `to` runs parts from the new epoch on.
 struct Owns {};
 // No part of the old epoch is running at `from`.
@@ -131,8 +133,8 @@
 struct Pause {};
 struct Resume {};
 struct Tick {};
-using Event = std::variant<Kept, Copied, CopyLag, Fenced, CaughtUp, Published, Owns, Drained, Dropped,
-                           Unfenced, AbortRequested, Pause, Resume, Tick>;
+using Event = std::variant<Kept, Copied, CopyLag, Fenced, CaughtUp, Published, PublishRefused, Owns, Drained,
+                           Dropped, Unfenced, AbortRequested, Pause, Resume, Tick>;
 
 // Actions.
 
@@ -147,7 +149,7 @@
 struct RequestCatchUp {
     Position upto = 0;
 };
-// Publishes the map with the new owner; answered by Published.
+// Publishes the map with the new owner; answered by Published or PublishRefused.
 struct Publish {};
 // Requests answered by Owns, Drained, Dropped and Unfenced.
 struct RequestOwn {};
@@ -198,6 +200,7 @@
     void on(const moving::Fenced& fenced);
     void on(const moving::CaughtUp& reached);
     void on(const moving::Published&);
+    void on(const moving::PublishRefused&);
     void on(const moving::Owns&);
     void on(const moving::Drained&);
     void on(const moving::Dropped& dropped);
--- a/src/tool/shard_carrier.cpp
+++ b/src/tool/shard_carrier.cpp
@@ -20,11 +20,15 @@
 constexpr int kPollIntervalMs = 5;
 constexpr Time kRequestCheckInterval = 1'000;  // between checks for operators' requests, 0.1 ms
 constexpr Time kFleetRefreshInterval =
-    10'000;                            // between fetches of map and list while boxes do not answer, 0.1 ms
-constexpr Time kRenewalsPerLease = 3;  // renewals within one lease duration
+    10'000;  // between fetches of map and list while boxes do not answer, 0.1 ms
+constexpr int kFirstClientError = 400, kFirstServerError = 500;  // HTTP statuses
+constexpr Time kRenewalsPerLease = 3;                            // renewals within one lease duration
 
 bool is_cut(MoveKind kind) { return kind == MoveKind::kSplit || kind == MoveKind::kMerge; }
 
+// Whether the owner is fenced during a move of this kind.
+bool is_fenced(MoveKind kind) { return is_cut(kind) || kind == MoveKind::kOwner || kind == MoveKind::kPass; }
+
 }  // namespace
 
 FleetView fetch_fleet(net::Endpoint discovery, const std::string& path, ServerNames& names, int timeout_ms) {
@@ -103,7 +107,10 @@
 }
 
 void MoveExecutor::refresh_fleet() {
-    fleet_ = fetch_fleet(config_.discovery, config_.path, names_, config_.request_timeout_ms);
+    auto fetched = fetch_fleet(config_.discovery, config_.path, names_, config_.request_timeout_ms);
+    // A discovery that lags may send an older map than it did before; decisions go by the newest one.
+    if (fetched.map.version() < fleet_.map.version()) fetched.map = fleet_.map;
+    fleet_ = std::move(fetched);
 }
 
 // A box that did not answer may be back at another address, or be listed only now.
@@ -174,11 +181,12 @@
             std::to_string(move.shard) + ' ' + active.journaled.from + " -> " + active.journaled.to + ", " +
             std::string(name_of(move.step)));
     active.mover = std::make_unique<Mover>(move, config_.move);
-    if (fleet_.map.find(move.shard) == nullptr && move.step == MoveStep::kPrepare) {
-        journal_.note(id, "the shard is not in the map any more");
-        active.aborted = true;
-    }
-    run_actions(active, active.mover->start(now(), active.aborted));
+    active.may_be_published = move.step == MoveStep::kSwitch;
+    // The map may have changed since the move was scheduled. A move that it refuses is undone before any
+    // server is fenced.
+    const auto refusal = move.step == MoveStep::kPrepare ? refusal_to_begin(active) : "";
+    if (!refusal.empty()) report_refusal(active, refusal);
+    run_actions(active, active.mover->start(now(), active.aborted || !refusal.empty()));
 }
 
 // Runs the actions in order; an action that completes at once may append further ones.
@@ -298,26 +306,42 @@
     return found;
 }
 
-bool MoveExecutor::request_owner_of_parents(const ActiveMove& active, const char* verb,
-                                            std::uint64_t& value) {
+std::vector<ShardId> MoveExecutor::parent_ids(const ActiveMove& active) {
+    const auto& move = active.journaled.move;
+    std::vector<ShardId> ids{move.shard};
+    if (move.kind == MoveKind::kMerge) ids.push_back(move.cut.other);
+    return ids;
+}
+
+bool MoveExecutor::fence_parents(const ActiveMove& active, std::uint64_t& value) {
     for (const auto* parent : parents(active)) {
-        if (parent == nullptr || !request_box(active, active.journaled.from, verb, *parent, value))
+        if (parent == nullptr || !request_box(active, active.journaled.from, "fence", *parent, value))
             return false;
     }
     return true;
 }
 
+// A parent that is no longer in the map is unfenced too, which needs no more than its id.
+bool MoveExecutor::unfence_parents(const ActiveMove& active) {
+    std::uint64_t value = 0;
+    bool all = true;
+    for (const auto id : parent_ids(active)) {
+        Shard parent;
+        parent.id = id;
+        if (const auto* known = fleet_.map.find(id)) parent = *known;
+        all = request_box(active, active.journaled.from, "unfence", parent, value) && all;
+    }
+    return all;
+}
+
 // The parents are no longer in the map; every box that held them holds the children.
 bool MoveExecutor::drop_parents(const ActiveMove& active) {
-    const auto& move = active.journaled.move;
     const auto after = children(active);
     if (after.front() == nullptr) return false;
-    std::vector<ShardId> parent_ids{move.shard};
-    if (move.kind == MoveKind::kMerge) parent_ids.push_back(move.cut.other);
     std::uint64_t value = 0;
     bool all = true;
     for (const auto& each : after.front()->replicas) {
-        for (const auto id : parent_ids) {
+        for (const auto id : parent_ids(active)) {
             Shard parent;
             parent.id = id;
             parent.epoch = after.front()->epoch;
@@ -351,9 +375,9 @@
 void MoveExecutor::execute(ActiveMove& active, const RequestFence&) {
     std::uint64_t value = 0;
     const auto kind = active.journaled.move.kind;
-    const bool owned = kind == MoveKind::kOwner || kind == MoveKind::kPass;
-    const bool fenced = is_cut(kind) ? request_owner_of_parents(active, "fence", value)
-                                     : !owned || request_box(active, active.journaled.from, "fence", value);
+    const bool fenced = is_cut(kind)
+                            ? fence_parents(active, value)
+                            : !is_fenced(kind) || request_box(active, active.journaled.from, "fence", value);
     if (fenced) handle_event(active, Fenced{value});
 }
 
@@ -386,21 +410,83 @@
     return steps;
 }
 
+std::string MoveExecutor::refusal_of(const std::vector<Step>& steps) const {
+    auto map = fleet_.map;
+    for (const auto& step : steps) {
+        auto next = map.after(step);
+        if (const auto* refused = std::get_if<ShardMap::Refused>(&next)) return refused->why;
+        map = std::get<ShardMap>(std::move(next));
+    }
+    return {};
+}
+
+std::string MoveExecutor::refusal_to_begin(const ActiveMove& active) const {
+    const auto& move = active.journaled.move;
+    const auto* shard = fleet_.map.find(move.shard);
+    if (shard == nullptr) return "the shard is not in the map any more";
+    if (is_fenced(move.kind) && shard->owner() != move.from)
+        return "the shard is owned by " + names_.name(shard->owner()) + " now";
+    return refusal_of(unpublished_steps(active));
+}
+
+// Whether the map shows that the change was never published: what it would have replaced is still there.
+bool MoveExecutor::certainly_unpublished(const ActiveMove& active) const {
+    const auto& move = active.journaled.move;
+    if (is_cut(move.kind)) {
+        const auto before = parents(active);
+        return std::any_of(before.begin(), before.end(),
+                           [](const Shard* parent) { return parent != nullptr; });
+    }
+    const auto* shard = fleet_.map.find(move.shard);
+    return shard != nullptr && (!is_fenced(move.kind) || shard->owner() == move.from);
+}
+
+void MoveExecutor::report_refusal(const ActiveMove& active, const std::string& why) {
+    const auto id = active.journaled.move.id;
+    journal_.note(id, "refused by the map: " + why);
+    report_("move " + std::to_string(id) + ": refused by the map: " + why);
+}
+
+// The steps were checked against the newest map, and changes are posted for one version of the map only. So
+// an earlier request that discovery may still get cannot publish what this map refuses.
 void MoveExecutor::execute(ActiveMove& active, const Publish&) {
     refresh_fleet();
     const auto steps = unpublished_steps(active);
-    if (!steps.empty()) {
-        const auto text = print_changes(fleet_.map.version(), steps, names_);
-        const auto response =
-            send_http_request(config_.discovery, "POST", config_.path, text, config_.request_timeout_ms);
-        crash_points_.pass("published");
-        // Whatever the response, the map shows whether the change was applied.
-        if (response) refresh_fleet();
-        if (!unpublished_steps(active).empty()) return;
+    if (steps.empty()) return handle_event(active, Published{});
+    if (const auto why = refusal_of(steps); !why.empty()) {
+        if (!certainly_unpublished(active)) return;
+        report_refusal(active, why);
+        return handle_event(active, PublishRefused{});
+    }
+    post_changes(active, steps);
+}
+
+void MoveExecutor::post_changes(ActiveMove& active, const std::vector<Step>& steps) {
+    const auto version = fleet_.map.version();
+    const auto response =
+        send_http_request(config_.discovery, "POST", config_.path, print_changes(version, steps, names_),
+                          config_.request_timeout_ms);
+    crash_points_.pass("published");
+    const bool refused =
+        response && response->status >= kFirstClientError && response->status < kFirstServerError;
+    if (!refused) active.may_be_published = true;
+    // Whatever the response, the map shows whether the change was applied.
+    if (response) refresh_fleet();
+    if (unpublished_steps(active).empty()) {
         report_("map version " + std::to_string(fleet_.map.version()) + ": move " +
                 std::to_string(active.journaled.move.id));
+        return handle_event(active, Published{});
     }
-    handle_event(active, Published{});
+    if (!refused || fleet_.map.version() != version) {
+        active.refused_since = -1;
+        return;
+    }
+    if (active.refused_since < 0) active.refused_since = now();
+    // Discovery may refuse what the map allows. After the longest time behind a fence the old owner resumes.
+    const bool too_long = now() - active.refused_since >= config_.move.max_fence_duration;
+    if (!too_long || active.may_be_published || !certainly_unpublished(active)) return;
+    report_refusal(active, "discovery answers " + std::to_string(response->status));
+    handle_event(active, PublishRefused{});
 }
 
 // Sends the map's epoch to all boxes that hold the shard according to the map.
@@ -438,12 +524,14 @@
         if (!from || drop_parents(active)) handle_event(active, Dropped{drop.box});
         return;
     }
+    const auto* shard = fleet_.map.find(active.journaled.move.shard);
+    // An undone move leaves the data of a box that holds the shard by the map, whoever put it there.
+    const bool held_by_map = shard != nullptr && is_on(shard->replicas, active.journaled.move.to);
     const bool keeps = from ? kind == MoveKind::kPass || kind == MoveKind::kCopy
-                            : kind == MoveKind::kPass || kind == MoveKind::kRemove;
+                            : kind == MoveKind::kPass || kind == MoveKind::kRemove || held_by_map;
     // A box that keeps its data must still be told that the move has ended.
     const char* verb = keeps ? "unfence" : "drop";
     const auto& box = from ? active.journaled.from : active.journaled.to;
-    const auto* shard = fleet_.map.find(active.journaled.move.shard);
     if (box.empty() ||
         request_box(active, box, verb, value, 0, from && !keeps && shard != nullptr ? shard->epoch : 0))
         handle_event(active, Dropped{drop.box});
@@ -452,10 +540,9 @@
 void MoveExecutor::execute(ActiveMove& active, const RequestUnfence&) {
     std::uint64_t value = 0;
     const auto kind = active.journaled.move.kind;
-    const bool owned = kind == MoveKind::kOwner || kind == MoveKind::kPass;
-    const bool unfenced = is_cut(kind)
-                              ? request_owner_of_parents(active, "unfence", value)
-                              : !owned || request_box(active, active.journaled.from, "unfence", value);
+    const bool unfenced =
+        is_cut(kind) ? unfence_parents(active)
+                     : !is_fenced(kind) || request_box(active, active.journaled.from, "unfence", value);
     if (unfenced) handle_event(active, Unfenced{});
 }
 
--- a/src/tool/shard_carrier.hpp
+++ b/src/tool/shard_carrier.hpp
@@ -62,6 +62,11 @@
         std::unique_ptr<placement::Mover> mover;
         std::set<placement::Time> wake_times;
         bool aborted = false;
+        // Whether discovery may have taken the change although the map does not show it: a request to publish
+        // it has an unknown result, or was sent by an earlier process.
+        bool may_be_published = false;
+        // Since when discovery has refused the change, while the map allows it; -1: it has not.
+        placement::Time refused_since = -1;
     };
     using Actions = std::vector<placement::moving::Action>;
 
@@ -79,11 +84,19 @@
     // shard.
     std::vector<const placement::Shard*> parents(const ActiveMove& active) const;
     std::vector<const placement::Shard*> children(const ActiveMove& active) const;
-    bool request_owner_of_parents(const ActiveMove& active, const char* verb, std::uint64_t& value);
+    static std::vector<placement::ShardId> parent_ids(const ActiveMove& active);
+    bool fence_parents(const ActiveMove& active, std::uint64_t& value);
+    bool unfence_parents(const ActiveMove& active);
     bool drop_parents(const ActiveMove& active);
     void refresh_fleet();
     void refresh_fleet_after_failure();
     std::vector<placement::Step> unpublished_steps(const ActiveMove& active) const;
+    // Why the move cannot begin by the map, or the steps cannot be published; empty: they can.
+    std::string refusal_to_begin(const ActiveMove& active) const;
+    std::string refusal_of(const std::vector<placement::Step>& steps) const;
+    bool certainly_unpublished(const ActiveMove& active) const;
+    void post_changes(ActiveMove& active, const std::vector<placement::Step>& steps);
+    void report_refusal(const ActiveMove& active, const std::string& why);
 
     void execute(ActiveMove& active, const placement::moving::Keep& keep);
     void execute(ActiveMove& active, const placement::moving::RequestCopy&);
