What a move changes in the map, and whether a map allows it, in a module of its own

A move whose shard is gone from the map counts as refused, no longer as published; a refused move that may have been published says so once.

Regression test: a passing of ownership whose shard is split elsewhere behind its fence is undone and the fence lifted.

--- a/src/tool/shard_carrier.cpp
+++ b/src/tool/shard_carrier.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "placement/map_change.hpp"
 #include "tool/command_line.hpp"
 
 namespace pinedoor::tool {
@@ -24,11 +25,6 @@
 constexpr int kFirstClientError = 400, kFirstServerError = 500;  // HTTP statuses
 constexpr Time kRenewalsPerLease = 3;                            // renewals within one lease duration
 
-bool is_cut(MoveKind kind) { return kind == MoveKind::kSplit || kind == MoveKind::kMerge; }
-
-// Whether the owner is fenced during a move of this kind.
-bool is_fenced(MoveKind kind) { return is_cut(kind) || kind == MoveKind::kOwner || kind == MoveKind::kPass; }
-
 }  // namespace
 
 FleetView fetch_fleet(net::Endpoint discovery, const std::string& path, ServerNames& names, int timeout_ms) {
@@ -184,7 +180,7 @@
     active.may_be_published = move.step == MoveStep::kSwitch;
     // The map may have changed since the move was scheduled. A move that it refuses is undone before any
     // server is fenced.
-    const auto refusal = move.step == MoveStep::kPrepare ? refusal_to_begin(active) : "";
+    const auto refusal = move.step == MoveStep::kPrepare ? begin_refusal(move, fleet_.map) : "";
     if (!refusal.empty()) report_refusal(active, refusal);
     run_actions(active, active.mover->start(now(), active.aborted || !refusal.empty()));
 }
@@ -292,29 +288,8 @@
     return true;
 }
 
-std::vector<const Shard*> MoveExecutor::parents(const ActiveMove& active) const {
-    const auto& move = active.journaled.move;
-    std::vector<const Shard*> found{fleet_.map.find(move.shard)};
-    if (move.kind == MoveKind::kMerge) found.push_back(fleet_.map.find(move.cut.other));
-    return found;
-}
-
-std::vector<const Shard*> MoveExecutor::children(const ActiveMove& active) const {
-    const auto& move = active.journaled.move;
-    std::vector<const Shard*> found{fleet_.map.find(move.cut.lower)};
-    if (move.kind == MoveKind::kSplit) found.push_back(fleet_.map.find(move.cut.upper));
-    return found;
-}
-
-std::vector<ShardId> MoveExecutor::parent_ids(const ActiveMove& active) {
-    const auto& move = active.journaled.move;
-    std::vector<ShardId> ids{move.shard};
-    if (move.kind == MoveKind::kMerge) ids.push_back(move.cut.other);
-    return ids;
-}
-
 bool MoveExecutor::fence_parents(const ActiveMove& active, std::uint64_t& value) {
-    for (const auto* parent : parents(active)) {
+    for (const auto* parent : parents(active.journaled.move, fleet_.map)) {
         if (parent == nullptr || !request_box(active, active.journaled.from, "fence", *parent, value))
             return false;
     }
@@ -325,7 +300,7 @@
 bool MoveExecutor::unfence_parents(const ActiveMove& active) {
     std::uint64_t value = 0;
     bool all = true;
-    for (const auto id : parent_ids(active)) {
+    for (const auto id : parent_ids(active.journaled.move)) {
         Shard parent;
         parent.id = id;
         if (const auto* known = fleet_.map.find(id)) parent = *known;
@@ -336,12 +311,12 @@
 
 // The parents are no longer in the map; every box that held them holds the children.
 bool MoveExecutor::drop_parents(const ActiveMove& active) {
-    const auto after = children(active);
+    const auto after = children(active.journaled.move, fleet_.map);
     if (after.front() == nullptr) return false;
     std::uint64_t value = 0;
     bool all = true;
     for (const auto& each : after.front()->replicas) {
-        for (const auto id : parent_ids(active)) {
+        for (const auto id : parent_ids(active.journaled.move)) {
             Shard parent;
             parent.id = id;
             parent.epoch = after.front()->epoch;
@@ -389,78 +364,34 @@
         handle_event(active, CaughtUp{value});
 }
 
-// Returns the map changes that are still to be published; empty if the map has them all.
-std::vector<Step> MoveExecutor::unpublished_steps(const ActiveMove& active) const {
-    const auto& move = active.journaled.move;
-    const auto* shard = fleet_.map.find(move.shard);
-    std::vector<Step> steps;
-    if (is_cut(move.kind) && children(active).front() != nullptr) return steps;
-    if (move.kind == MoveKind::kSplit)
-        return {Split{move.shard, move.cut.at, move.cut.lower, move.cut.upper}};
-    if (move.kind == MoveKind::kMerge) return {Merge{move.shard, move.cut.other, move.cut.lower}};
-    if (shard == nullptr) return steps;
-    const bool adds =
-        move.kind == MoveKind::kOwner || move.kind == MoveKind::kReader || move.kind == MoveKind::kCopy;
-    const bool passes = move.kind == MoveKind::kOwner || move.kind == MoveKind::kPass;
-    const bool removes =
-        move.kind == MoveKind::kOwner || move.kind == MoveKind::kReader || move.kind == MoveKind::kRemove;
-    if (adds && !is_on(shard->replicas, move.to)) steps.push_back(AddReader{move.shard, move.to});
-    if (passes && shard->owner() != move.to) steps.push_back(PassOwnership{move.shard, move.to});
-    if (removes && is_on(shard->replicas, move.from)) steps.push_back(RemoveReader{move.shard, move.from});
-    return steps;
-}
-
-std::string MoveExecutor::refusal_of(const std::vector<Step>& steps) const {
-    auto map = fleet_.map;
-    for (const auto& step : steps) {
-        auto next = map.after(step);
-        if (const auto* refused = std::get_if<ShardMap::Refused>(&next)) return refused->why;
-        map = std::get<ShardMap>(std::move(next));
-    }
-    return {};
-}
-
-std::string MoveExecutor::refusal_to_begin(const ActiveMove& active) const {
-    const auto& move = active.journaled.move;
-    const auto* shard = fleet_.map.find(move.shard);
-    if (shard == nullptr) return "the shard is not in the map any more";
-    if (is_fenced(move.kind) && shard->owner() != move.from)
-        return "the shard is owned by " + names_.name(shard->owner()) + " now";
-    return refusal_of(unpublished_steps(active));
-}
-
-// Whether the map shows that the change was never published: what it would have replaced is still there.
-bool MoveExecutor::certainly_unpublished(const ActiveMove& active) const {
-    const auto& move = active.journaled.move;
-    if (is_cut(move.kind)) {
-        const auto before = parents(active);
-        return std::any_of(before.begin(), before.end(),
-                           [](const Shard* parent) { return parent != nullptr; });
-    }
-    const auto* shard = fleet_.map.find(move.shard);
-    return shard != nullptr && (!is_fenced(move.kind) || shard->owner() == move.from);
-}
-
 void MoveExecutor::report_refusal(const ActiveMove& active, const std::string& why) {
     const auto id = active.journaled.move.id;
     journal_.note(id, "refused by the map: " + why);
     report_("move " + std::to_string(id) + ": refused by the map: " + why);
 }
 
-// The steps were checked against the newest map, and changes are posted for one version of the map only. So
-// an earlier request that discovery may still get cannot publish what this map refuses.
 void MoveExecutor::execute(ActiveMove& active, const Publish&) {
     refresh_fleet();
-    const auto steps = unpublished_steps(active);
+    const auto& move = active.journaled.move;
+    if (const auto why = publish_refusal(move, fleet_.map); !why.empty()) return refuse(active, why);
+    const auto steps = unpublished_steps(move, fleet_.map);
     if (steps.empty()) return handle_event(active, Published{});
-    if (const auto why = refusal_of(steps); !why.empty()) {
-        if (!certainly_unpublished(active)) return;
-        report_refusal(active, why);
-        return handle_event(active, PublishRefused{});
-    }
     post_changes(active, steps);
 }
 
+// Undoes a move that cannot be published any more, if it certainly was not published before. Changes are
+// posted for one version of the map and checked against it first, so a request that discovery has yet to
+// receive cannot publish what the newest map refuses.
+void MoveExecutor::refuse(ActiveMove& active, const std::string& why) {
+    if (active.may_be_published && !shows_unpublished(active.journaled.move, fleet_.map)) {
+        if (!std::exchange(active.is_stuck, true))
+            report_refusal(active, why + "; it may have been published");
+        return;
+    }
+    report_refusal(active, why);
+    handle_event(active, PublishRefused{});
+}
+
 void MoveExecutor::post_changes(ActiveMove& active, const std::vector<Step>& steps) {
     const auto version = fleet_.map.version();
     const auto response =
@@ -472,7 +403,8 @@
     if (!refused) active.may_be_published = true;
     // Whatever the response, the map shows whether the change was applied.
     if (response) refresh_fleet();
-    if (unpublished_steps(active).empty()) {
+    if (publish_refusal(active.journaled.move, fleet_.map).empty() &&
+        unpublished_steps(active.journaled.move, fleet_.map).empty()) {
         report_("map version " + std::to_string(fleet_.map.version()) + ": move " +
                 std::to_string(active.journaled.move.id));
         return handle_event(active, Published{});
@@ -484,17 +416,16 @@
     if (active.refused_since < 0) active.refused_since = now();
     // Discovery may refuse what the map allows. After the longest time behind a fence the old owner resumes.
     const bool too_long = now() - active.refused_since >= config_.move.max_fence_duration;
-    if (!too_long || active.may_be_published || !certainly_unpublished(active)) return;
-    report_refusal(active, "discovery answers " + std::to_string(response->status));
-    handle_event(active, PublishRefused{});
+    if (too_long && !active.may_be_published)
+        refuse(active, "discovery answers " + std::to_string(response->status));
 }
 
 // Sends the map's epoch to all boxes that hold the shard according to the map.
 void MoveExecutor::execute(ActiveMove& active, const RequestOwn&) {
-    if (!unpublished_steps(active).empty()) return;
+    if (!unpublished_steps(active.journaled.move, fleet_.map).empty()) return;
     const bool cut = is_cut(active.journaled.move.kind);
     std::vector<const Shard*> owned{fleet_.map.find(active.journaled.move.shard)};
-    if (cut) owned = children(active);
+    if (cut) owned = children(active.journaled.move, fleet_.map);
     std::uint64_t value = 0;
     bool all = true;
     for (const auto* shard : owned) {
--- a/src/tool/shard_carrier.hpp
+++ b/src/tool/shard_carrier.hpp
@@ -67,6 +67,7 @@
         bool may_be_published = false;
         // Since when discovery has refused the change, while the map allows it; -1: it has not.
         placement::Time refused_since = -1;
+        bool is_stuck = false;  // refused, and possibly published: an operator has to look at it
     };
     using Actions = std::vector<placement::moving::Action>;
 
@@ -80,22 +81,13 @@
                      std::uint64_t upto = 0, placement::Epoch epoch = 0);
     bool request_box(const ActiveMove& active, const std::string& box, const char* verb,
                      const placement::Shard& shard, std::uint64_t& value, std::uint64_t upto = 0);
-    // Of a split or merge: the shards before and after publication; null where the map does not have the
-    // shard.
-    std::vector<const placement::Shard*> parents(const ActiveMove& active) const;
-    std::vector<const placement::Shard*> children(const ActiveMove& active) const;
-    static std::vector<placement::ShardId> parent_ids(const ActiveMove& active);
     bool fence_parents(const ActiveMove& active, std::uint64_t& value);
     bool unfence_parents(const ActiveMove& active);
     bool drop_parents(const ActiveMove& active);
     void refresh_fleet();
     void refresh_fleet_after_failure();
-    std::vector<placement::Step> unpublished_steps(const ActiveMove& active) const;
-    // Why the move cannot begin by the map, or the steps cannot be published; empty: they can.
-    std::string refusal_to_begin(const ActiveMove& active) const;
-    std::string refusal_of(const std::vector<placement::Step>& steps) const;
-    bool certainly_unpublished(const ActiveMove& active) const;
     void post_changes(ActiveMove& active, const std::vector<placement::Step>& steps);
+    void refuse(ActiveMove& active, const std::string& why);
     void report_refusal(const ActiveMove& active, const std::string& why);
 
     void execute(ActiveMove& active, const placement::moving::Keep& keep);
--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -437,6 +437,20 @@
     CHECK(fixture.ask("once", "t", {2}) == whole_answer({2}));
 }
 
+TEST_CASE("a move whose shard is split elsewhere behind its fence is undone, and its fence is lifted") {
+    ShardsFixture fixture;
+    fixture.use_map(fixture.alike());
+    fixture.schedule_pass(1, 1, 2);
+    CHECK(fixture.shards("apply --lease-ms 100", "asked-fence").code == -SIGKILL);
+    CHECK(fixture.boxes.guard(1, 1).fenced());
+    fixture.change_map(Split{1, Gatherer::keys_of(2, kSplits).first + 12'345, 50, 51});
+    const auto result = fixture.resume_apply();
+    CHECK_MESSAGE(result.code == 3, result.text);
+    CHECK(result.text.find("refused by the map: the shard is not in the map any more") != std::string::npos);
+    CHECK(fixture.open_moves().empty());
+    CHECK(!fixture.boxes.guard(1, 1).fenced());
+}
+
 TEST_CASE("a move that discovery refuses although the map allows it is undone after the longest fence") {
     for (const bool split : {true, false}) {
         CAPTURE(split);
