Tests of moves ask on a new connection, since an idle one is closed after 2 s

Cause: the fixture's connection was opened before the commands and used after them; the front node closes a connection that was idle for 2 s (README, "Start"), and under that load five commands can take longer. Traced: a pause of 2.1 s before the requests fails the same two checks with the same values in release, and with a new connection for each request the same pause passes. How long the failed run took is not recorded.

Every check stays as it is: the same requests must get the same answers. None of these tests is about idle connections.

--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -154,7 +154,9 @@
         }
         return {};
     }
+    // On a new connection: the front node may close one that was idle for 2 s, and commands may take longer.
     std::string ask(const std::string& op_type, const std::string& name, const std::vector<int>& splits) {
+        client = program->client();
         client.say(post(op_type, name, asks(splits, op_type == "once" ? "once" : "sum")));
         return client.answer();
     }
@@ -329,7 +331,6 @@
                 CHECK_MESSAGE(result.code == 3, result.text);
                 CHECK(fixture.shards("history --open").text.find("undo") == std::string::npos);
                 CHECK(!fixture.boxes.guard(1, shard).fenced());
-                fixture.client = fixture.program->client();  // the first connection was idle for too long
                 CHECK(fixture.ask("once", "t", {shard == 1 ? 2 : 8}) == whole_answer({shard == 1 ? 2 : 8}));
                 CHECK(fixture.boxes.count_repeated_runs("once") == 0);
             }
@@ -397,7 +398,6 @@
             for (const ShardId shard : {1, 2})
                 for (const std::size_t box : {1U, 2U}) CHECK(!fixture.boxes.guard(box, shard).fenced());
             fixture.boxes.use_map(fixture.discovery.current_map());  // the epoch that the other change made
-            fixture.client = fixture.program->client();
             CHECK(fixture.ask("once", "t", {2}) == whole_answer({2}));
             CHECK(fixture.ask("once", "u", {8}) == whole_answer({8}));
             CHECK(fixture.boxes.count_repeated_runs("once") == 0);
@@ -416,7 +416,6 @@
     CHECK(fixture.open_moves().empty());
     CHECK(fixture.discovery.current_map().size() == 3);
     CHECK(!fixture.boxes.guard(1, 1).fenced());
-    fixture.client = fixture.program->client();
     CHECK(fixture.ask("once", "t", {2}) == whole_answer({2}));
     CHECK(fixture.shards("split 1 " + print_key(Gatherer::keys_of(2, kSplits).first + 12'345)).code == 0);
     CHECK(fixture.shards("apply").code == 0);
@@ -433,7 +432,6 @@
     CHECK_MESSAGE(result.code == 3, result.text);
     CHECK(fixture.open_moves().empty());
     CHECK(!fixture.boxes.guard(1, 1).fenced());
-    fixture.client = fixture.program->client();
     CHECK(fixture.ask("once", "t", {2}) == whole_answer({2}));
 }
 
@@ -462,7 +460,6 @@
         CHECK(result.text.find("refused by the map: discovery answers 409") != std::string::npos);
         CHECK(fixture.discovery.current_map() == fixture.map);
         for (const ShardId shard : {1, 2}) CHECK(!fixture.boxes.guard(1, shard).fenced());
-        fixture.client = fixture.program->client();
         CHECK(fixture.ask("once", "t", {2}) == whole_answer({2}));
         CHECK(fixture.ask("once", "u", {8}) == whole_answer({8}));
     }
