An aborted move is undone after the earlier moves of its shards have ended

Operators saw: of a plan's moves of one shard, one that waits was aborted while an earlier one went on. The earlier one then stood at its switch for good (so that, by reading, abort is refused and no other plan is taken), and no multiget of the shard that must not run twice was answered any more. Nothing had failed.

Cause: a waiting move that is aborted was undone at once, beside the one that goes on. To undo it tells the boxes that its number has ended there, and a box refuses whatever has a lower number, so the earlier move was refused at its switch (own or read).

Fix: the queue of moves begins an aborted move regardless of limits and pauses, as before, but only once no earlier move of its shards is open, of both shards of a merge; no move of the shard begins beside it. So numbers end at a box in their order.

--- a/src/placement/move_desk.cpp
+++ b/src/placement/move_desk.cpp
@@ -3,6 +3,19 @@
 #include <algorithm>
 
 namespace pinedoor::placement {
+namespace {
+
+std::vector<ShardId> shards_of(const QueuedMove& move) {
+    if (move.other_shard == 0) return {move.shard};
+    return {move.shard, move.other_shard};
+}
+
+bool share_shard(const QueuedMove& one, const QueuedMove& other) {
+    const auto shards = shards_of(one), others = shards_of(other);
+    return std::find_first_of(shards.begin(), shards.end(), others.begin(), others.end()) != shards.end();
+}
+
+}  // namespace
 
 std::string MoveQueue::fault_of(const MoveQueueConfig& terms) {
     if (terms.at_once == 0 || terms.at_once_box == 0 || terms.at_once_zone == 0)
@@ -21,25 +34,41 @@
 }
 
 bool MoveQueue::within_limits(const QueuedMove& wanted) const {
-    if (running_.size() >= config_.at_once) return false;
-    std::size_t from = 0, to = 0, zone = 0;
+    std::size_t total = 0, from = 0, to = 0, zone = 0;
     for (const auto& [id, other] : running_) {
-        if (other.shard == wanted.shard || other.wave < wanted.wave) return false;
+        if (share_shard(other, wanted)) return false;
+        if (other.aborted) continue;
+        if (other.wave < wanted.wave) return false;
+        ++total;
         from += other.from == wanted.from ? 1 : 0;
         to += other.to == wanted.to ? 1 : 0;
         zone += other.zone == wanted.zone ? 1 : 0;
     }
-    return from < config_.at_once_box && to < config_.at_once_box && zone < config_.at_once_zone;
+    return total < config_.at_once && from < config_.at_once_box && to < config_.at_once_box &&
+           zone < config_.at_once_zone;
+}
+
+bool MoveQueue::is_first_of_shard(const QueuedMove& wanted) const {
+    const auto blocks = [&wanted](const QueuedMove& other) { return share_shard(other, wanted); };
+    return std::none_of(running_.begin(), running_.end(),
+                        [&](const auto& each) { return blocks(each.second); }) &&
+           std::none_of(waiting_.begin(), waiting_.end(),
+                        [&](const QueuedMove& other) { return other.id < wanted.id && blocks(other); });
+}
+
+bool MoveQueue::may_begin(const QueuedMove& wanted) const {
+    // A begun move must continue regardless of limits and pauses, since its fence may be up.
+    if (wanted.begun) return true;
+    if (wanted.aborted) return is_first_of_shard(wanted);
+    return !paused() && !stopped_ && within_limits(wanted);
 }
 
 std::vector<MoveId> MoveQueue::begin() {
     std::vector<MoveId> begun;
     for (auto at = waiting_.begin(); at != waiting_.end();) {
-        // A begun move must continue regardless of limits and pauses, since its fence may be up.
-        const bool may = at->begun || (!paused() && !stopped_ && within_limits(*at));
         const bool earlier_waits =
             std::any_of(waiting_.begin(), at, [&](const QueuedMove& other) { return other.wave < at->wave; });
-        if (!may || (earlier_waits && !at->begun)) {
+        if (!may_begin(*at) || (earlier_waits && !at->begun && !at->aborted)) {
             ++at;
             continue;
         }
@@ -56,8 +85,8 @@
     stopped_by_ = id;
 }
 
-void MoveQueue::drop(MoveId id) {
-    std::erase_if(waiting_, [id](const QueuedMove& each) { return each.id == id; });
+void MoveQueue::abort(MoveId id) {
+    for (auto& each : waiting_) each.aborted = each.aborted || each.id == id;
 }
 
 MoveQueue::Did MoveQueue::look(double pressure) {
@@ -74,7 +103,13 @@
     return Did::kNothing;
 }
 
-bool MoveQueue::done() const { return running_.empty() && (waiting_.empty() || stopped_); }
+bool MoveQueue::done() const {
+    if (!running_.empty()) return false;
+    if (waiting_.empty()) return true;
+    return stopped_ && std::none_of(waiting_.begin(), waiting_.end(), [this](const QueuedMove& each) {
+               return each.aborted && may_begin(each);
+           });
+}
 
 std::string MoveQueue::why() const {
     if (stopped_) return "move " + std::to_string(stopped_by_) + " was undone; plan again";
--- a/src/placement/move_desk.hpp
+++ b/src/placement/move_desk.hpp
@@ -5,6 +5,9 @@
 // A wave begins only once the waves before it are done, since it may need the space that they free. A move
 // that was undone without an operator's abort stops the queue: the remaining moves may not fit any more, and
 // an operator must decide or plan again.
+//
+// Moves of one shard run one at a time and in the order of their ids, also when they are aborted: an index
+// server refuses the requests of a move once a later one of the shard has ended there.
 #pragma once
 
 #include <cstdint>
@@ -31,8 +34,10 @@
     ShardId shard = 0;
     ServerNumber from = 0, to = 0;
     std::size_t wave = 0;
-    bool begun = false;  // began before a restart of the process; continues regardless of the limits
-    int zone = 0;        // of `to`
+    bool begun = false;       // began before a restart of the process; continues regardless of the limits
+    int zone = 0;             // of `to`
+    ShardId other_shard = 0;  // of a merge: the second of its shards
+    bool aborted = false;     // is to be undone, regardless of limits and pauses
 };
 
 // Schedules moves within the configured limits.
@@ -47,7 +52,8 @@
     std::vector<MoveId> begin();
     enum class End : std::uint8_t { kDone, kUndone, kAborted };
     void ended(MoveId id, End end);
-    void drop(MoveId id);  // removes a waiting move
+    // A waiting move is begun, to be undone, as soon as the earlier moves of its shard have ended.
+    void abort(MoveId id);
 
     // Samples the share of multigets that were turned away or failed since the last call, and pauses or
     // resumes.
@@ -63,6 +69,8 @@
 
 private:
     bool within_limits(const QueuedMove& wanted) const;
+    bool is_first_of_shard(const QueuedMove& wanted) const;
+    bool may_begin(const QueuedMove& wanted) const;
 
     const MoveQueueConfig config_;
     std::vector<QueuedMove> waiting_;  // begun moves first, then by wave, then in order of add()
--- a/src/tool/shard_carrier.cpp
+++ b/src/tool/shard_carrier.cpp
@@ -135,7 +135,8 @@
         const auto zone = fleet_.zones.find(each.to);
         const auto number = zones.try_emplace(zone == fleet_.zones.end() ? "" : zone->second, zones.size());
         scheduler_.add({id, each.move.shard, each.move.from, each.move.to, each.wave,
-                        each.move.step != MoveStep::kPrepare, static_cast<int>(number.first->second)});
+                        each.move.step != MoveStep::kPrepare, static_cast<int>(number.first->second),
+                        each.move.cut.other});
         active_moves_[id].journaled = std::move(each);
     }
     auto renew_at = now() + config_.lease / kRenewalsPerLease;
@@ -208,14 +209,11 @@
         const auto found = active_moves_.find(each.move.id);
         if (found == active_moves_.end() || found->second.aborted) continue;
         found->second.aborted = true;
-        if (found->second.mover) {
+        // A box may have got a request of a waiting move already, so that one is undone too, in its turn.
+        if (found->second.mover)
             handle_event(found->second, AbortRequested{});
-            continue;
-        }
-        // A box may have got a request already, so the move is undone there even if the limits on concurrent
-        // moves are reached.
-        scheduler_.drop(each.move.id);
-        start_move(each.move.id);
+        else
+            scheduler_.abort(each.move.id);
     }
     for (auto& [id, active] : active_moves_) {
         if (!active.mover || active.mover->paused() == scheduler_.paused()) continue;
--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -449,6 +449,46 @@
     CHECK(!fixture.boxes.guard(1, 1).fenced());
 }
 
+// Guards against a move that can never end: undoing a later move of its shard told the boxes that no earlier
+// one counts any more.
+TEST_CASE(
+    "a later move of a shard is aborted while an earlier one goes on: that one ends, the shard is run") {
+    for (const char* point : {"kept-prepare", "kept-catch-up", "kept-fence", "kept-switch", "published"}) {
+        CAPTURE(std::string(point));
+        ShardsFixture fixture;
+        // Of shard 1: a copy, then ownership is passed, then the old owner's replica is removed.
+        CHECK(fixture.shards("apply --lease-ms 100 " + fixture.fleet(), point).code == -SIGKILL);
+        const auto first = fixture.open_moves().at(0).move;
+        MoveId passing = 0;
+        for (const auto& each : fixture.open_moves()) {
+            if (each.move.shard == first.shard && each.move.kind == MoveKind::kPass) passing = each.move.id;
+        }
+        REQUIRE(passing > first.id);
+        fixture.shards("abort " + std::to_string(passing));
+        const auto result = fixture.resume_apply();
+        CHECK_MESSAGE(result.code == 3, result.text);
+        CHECK(result.text.find("move " + std::to_string(first.id) + ": done") != std::string::npos);
+        CHECK(result.text.find("move " + std::to_string(passing) + ": undone") != std::string::npos);
+        CHECK(fixture.ask("once", "t", {2}) == whole_answer({2}));
+        CHECK(fixture.ask("once", "u", {8}) == whole_answer({8}));
+    }
+}
+
+TEST_CASE("a merge is aborted while a move of its second shard goes on: that one ends, both shards are run") {
+    ShardsFixture fixture;
+    fixture.use_map(fixture.alike());
+    fixture.schedule_pass(2, 1, 2);
+    CHECK(fixture.shards("merge 1 2").code == 0);
+    CHECK(fixture.shards("apply --lease-ms 100", "asked-fence").code == -SIGKILL);
+    fixture.shards("abort 2");
+    const auto result = fixture.resume_apply();
+    CHECK_MESSAGE(result.code == 3, result.text);
+    CHECK(result.text.find("move 1: done") != std::string::npos);
+    CHECK(fixture.open_moves().empty());
+    CHECK(fixture.ask("once", "t", {2}) == whole_answer({2}));
+    CHECK(fixture.ask("once", "u", {8}) == whole_answer({8}));
+}
+
 TEST_CASE("a move that discovery refuses although the map allows it is undone after the longest fence") {
     for (const bool split : {true, false}) {
         CAPTURE(split);
@@ -653,6 +693,35 @@
     CHECK(again.begin() == std::vector<MoveId>{1});  // a begun move continues, since its fence may be up
 }
 
+TEST_CASE(
+    "the move queue begins an aborted move whatever its limits, after the earlier moves of its shards") {
+    MoveQueue desk({1, 1, 1, 0.02, 0.005, 2});
+    desk.add({1, 10, 1, 2, 0, false});
+    desk.add({2, 11, 1, 3, 0, false});
+    desk.add({3, 12, 1, 3, 0, false});
+    desk.add({4, 10, 1, 2, 1, false, 0, 12});  // a merge of shards 10 and 12
+    desk.add({5, 13, 1, 3, 2, false});
+    CHECK(desk.begin() == std::vector<MoveId>{1});
+    desk.abort(4);
+    CHECK(desk.begin().empty());
+    desk.abort(2);
+    CHECK(desk.begin() == std::vector<MoveId>{2});  // beyond the limits
+    desk.ended(1, MoveQueue::End::kUndone);
+    CHECK(desk.begin().empty());  // the queue has stopped, and the third move waits
+    CHECK(!desk.done());
+    desk.ended(2, MoveQueue::End::kAborted);
+    CHECK(desk.done());
+    desk.abort(3);
+    CHECK(!desk.done());
+    CHECK(desk.begin() == std::vector<MoveId>{3});
+    desk.ended(3, MoveQueue::End::kAborted);
+    CHECK(!desk.done());
+    CHECK(desk.begin() == std::vector<MoveId>{4});
+    desk.ended(4, MoveQueue::End::kAborted);
+    CHECK(desk.done());
+    CHECK(desk.waiting() == 1);
+}
+
 TEST_CASE("the move queue keeps its limits and terminates") {
     CHECK(rc::check("desk", [] {
         MoveQueueConfig terms;
