A change of ownership is published only for the owner that was fenced

What operators would see: a shard is passed to another box by somebody else while a move has its old owner behind the fence. The move went on: it passed the shard from the new owner, who was not fenced, to its own target, which has nothing of what that owner ran. What must not run twice could run at both, and answers could be lost (docs/placement.md, the promise).

Cause: whether the map has the owner that the move was planned for was checked when the move began, and not at its switch, though the steps are allowed whoever owns the shard.

Fix: a map allows no change of a shard, or of a merge's two, whose owner is neither of the move's boxes: the move is undone as after any other refusal. A move that may have been published stands and says so, as before.

Not seen at a user's; the map has to be changed from outside, as in the neighbouring test of a shard that is split elsewhere.

--- a/src/placement/map_change.cpp
+++ b/src/placement/map_change.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 const char* const kShardGone = "the shard is not in the map any more";
+const char* const kOtherOwner = "the shard has another owner by now";
 
 std::string refusal_of(const std::vector<Step>& steps, ShardMap map) {
     for (const auto& step : steps) {
@@ -17,6 +18,16 @@
     return {};
 }
 
+// Whether somebody else than the two servers of the move owns a shard that the move fences. That owner was
+// not fenced, and what it ran is not at `to`.
+bool has_other_owner(const Move& move, const ShardMap& map) {
+    if (!is_fenced(move.kind)) return false;
+    const auto before = parents(move, map);
+    return std::any_of(before.begin(), before.end(), [&move](const Shard* shard) {
+        return shard != nullptr && shard->owner() != move.from && shard->owner() != move.to;
+    });
+}
+
 }  // namespace
 
 bool is_cut(MoveKind kind) { return kind == MoveKind::kSplit || kind == MoveKind::kMerge; }
@@ -62,13 +73,15 @@
 
 std::string publish_refusal(const Move& move, const ShardMap& map) {
     if (!is_cut(move.kind) && map.find(move.shard) == nullptr) return kShardGone;
-    return refusal_of(unpublished_steps(move, map), map);
+    const auto steps = unpublished_steps(move, map);
+    if (!steps.empty() && has_other_owner(move, map)) return kOtherOwner;
+    return refusal_of(steps, map);
 }
 
 std::string begin_refusal(const Move& move, const ShardMap& map) {
     const auto* shard = map.find(move.shard);
     if (shard == nullptr) return kShardGone;
-    if (is_fenced(move.kind) && shard->owner() != move.from) return "the shard has another owner by now";
+    if (is_fenced(move.kind) && shard->owner() != move.from) return kOtherOwner;
     return publish_refusal(move, map);
 }
 
--- a/src/placement/map_change.hpp
+++ b/src/placement/map_change.hpp
@@ -23,7 +23,8 @@
 
 // Returns the changes that are still to be published; empty if the map has them all.
 std::vector<Step> unpublished_steps(const Move& move, const ShardMap& map);
-// Why the map does not allow the rest of the change; empty: it does.
+// Why the map does not allow the rest of the change; empty: it does. A map allows no change of a shard whose
+// owner the move has not fenced.
 std::string publish_refusal(const Move& move, const ShardMap& map);
 // The same for a move that has not begun, whose shard must still have the owner that it is planned for.
 std::string begin_refusal(const Move& move, const ShardMap& map);
--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -489,6 +489,38 @@
     CHECK(fixture.ask("once", "u", {8}) == whole_answer({8}));
 }
 
+// Guards against a change of ownership that is published for an owner who was never fenced.
+TEST_CASE(
+    "a move whose shard gets another owner behind its fence is undone, and that owner keeps the shard") {
+    for (const char* point : {"asked-fence", "merge kept-switch"}) {
+        CAPTURE(std::string(point));
+        ShardsFixture fixture;
+        fixture.use_map(fixture.alike());
+        const std::string words(point);
+        const bool merge = words.starts_with("merge");
+        if (merge) {
+            CHECK(fixture.shards("merge 1 2").code == 0);
+        } else {
+            fixture.change_map(AddReader{1, 3});
+            fixture.boxes.use_map(fixture.discovery.current_map());
+            fixture.schedule_pass(1, 1, 3);
+        }
+        const auto crash_point = words.substr(words.rfind(' ') + 1);
+        CHECK(fixture.shards("apply --lease-ms 100", crash_point).code == -SIGKILL);
+        CHECK(fixture.boxes.guard(1, 1).fenced());
+        fixture.change_map(PassOwnership{1, 2});
+        if (merge) fixture.change_map(PassOwnership{2, 2});
+        const auto changed = fixture.discovery.current_map();
+        const auto result = fixture.resume_apply();
+        CHECK_MESSAGE(result.code == 3, result.text);
+        CHECK(result.text.find("refused by the map: the shard has another owner by now") !=
+              std::string::npos);
+        CHECK(fixture.discovery.current_map() == changed);
+        CHECK(fixture.open_moves().empty());
+        CHECK(!fixture.boxes.guard(1, 1).fenced());
+    }
+}
+
 TEST_CASE("a move that discovery refuses although the map allows it is undone after the longest fence") {
     for (const bool split : {true, false}) {
         CAPTURE(split);
