A move that discovery refuses and that may be published says so

Operators saw: a mover died at its switch, discovery refused the change (4xx) although the map allows it, and the next mover posted it for good without a word; the pager's page says of a long `switch` that a box does not answer.

It cannot be undone: the dead mover's request is for the same version of the map and may still be taken.

--- a/src/tool/shard_carrier.cpp
+++ b/src/tool/shard_carrier.cpp
@@ -377,15 +377,18 @@
     post_changes(active, steps);
 }
 
+// Such a move is neither ended nor undone; it goes on if the map or discovery allows it again.
+void MoveExecutor::report_stuck(ActiveMove& active, const std::string& why) {
+    if (std::exchange(active.is_stuck, true)) return;
+    report_refusal(active, why + "; it may have been published");
+}
+
 // Undoes a move that cannot be published any more, if it certainly was not published before. Changes are
 // posted for one version of the map and checked against it first, so a request that discovery has yet to
 // receive cannot publish what the newest map refuses.
 void MoveExecutor::refuse(ActiveMove& active, const std::string& why) {
-    if (active.may_be_published && !shows_unpublished(active.journaled.move, fleet_.map)) {
-        if (!std::exchange(active.is_stuck, true))
-            report_refusal(active, why + "; it may have been published");
-        return;
-    }
+    if (active.may_be_published && !shows_unpublished(active.journaled.move, fleet_.map))
+        return report_stuck(active, why);
     report_refusal(active, why);
     handle_event(active, PublishRefused{});
 }
@@ -412,10 +415,12 @@
         return;
     }
     if (active.refused_since < 0) active.refused_since = now();
-    // Discovery may refuse what the map allows. After the longest time behind a fence the old owner resumes.
-    const bool too_long = now() - active.refused_since >= config_.move.max_fence_duration;
-    if (too_long && !active.may_be_published)
-        refuse(active, "discovery answers " + std::to_string(response->status));
+    // Discovery may refuse what the map allows. After the longest time behind a fence the old owner resumes,
+    // unless an earlier request may still publish the change: it is for this version of the map too.
+    if (now() - active.refused_since < config_.move.max_fence_duration) return;
+    const auto why = "discovery answers " + std::to_string(response->status);
+    if (active.may_be_published) return report_stuck(active, why);
+    refuse(active, why);
 }
 
 // Sends the map's epoch to all boxes that hold the shard according to the map.
--- a/src/tool/shard_carrier.hpp
+++ b/src/tool/shard_carrier.hpp
@@ -89,6 +89,7 @@
     void post_changes(ActiveMove& active, const std::vector<placement::Step>& steps);
     void refuse(ActiveMove& active, const std::string& why);
     void report_refusal(const ActiveMove& active, const std::string& why);
+    void report_stuck(ActiveMove& active, const std::string& why);
 
     void execute(ActiveMove& active, const placement::moving::Keep& keep);
     void execute(ActiveMove& active, const placement::moving::RequestCopy&);
--- a/tests/placement/mover_test.cpp
+++ b/tests/placement/mover_test.cpp
@@ -521,6 +521,23 @@
     }
 }
 
+// Guards against a move that stands at its switch without a word.
+TEST_CASE("a move that may be published and that discovery refuses says so, and goes on once it is taken") {
+    ShardsFixture fixture;
+    CHECK(fixture.shards("apply --lease-ms 100 " + fixture.fleet(), "kept-switch").code == -SIGKILL);
+    fixture.discovery.refuse_changes(true);
+    std::thread relents([&] {
+        usleep(3'500'000);
+        fixture.discovery.refuse_changes(false);
+    });
+    const auto result = fixture.resume_apply();
+    relents.join();
+    CHECK_MESSAGE(result.code == 0, result.text);
+    CHECK(result.text.find("refused by the map: discovery answers 409; it may have been published\n") !=
+          std::string::npos);
+    fixture.check_emptied();
+}
+
 TEST_CASE("a move that discovery refuses although the map allows it is undone after the longest fence") {
     for (const bool split : {true, false}) {
         CAPTURE(split);
