--- a/src/tool/shard_carrier.cpp
+++ b/src/tool/shard_carrier.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
-#include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "placement/map_change.hpp"
@@ -27,69 +26,6 @@
 
 }  // namespace
 
-FleetView fetch_fleet(net::Endpoint discovery, const std::string& path, ServerNames& names, int timeout_ms) {
-    const auto map = send_http_request(discovery, "GET", path, "", timeout_ms);
-    if (!map || map->status != 200)
-        throw CommandError("no map of shards at " + net::to_text(discovery) + path +
-                           "; name discovery by --discovery");
-    auto news = read_map_update(map->body, names);
-    const auto* whole = std::get_if<WholeMap>(&news);
-    if (whole == nullptr) {
-        const auto* unreadable = std::get_if<Unreadable>(&news);
-        throw CommandError("the map at " + net::to_text(discovery) + path + " cannot be used: " +
-                           (unreadable == nullptr ? "it is not a complete map" : unreadable->why));
-    }
-    if (const auto fault = ShardMap::fault_of(whole->shards); !fault.empty())
-        throw CommandError("the map at " + net::to_text(discovery) + path + " cannot be used: " + fault);
-    FleetView view{ShardMap::of(whole->shards, whole->version), {}, {}};
-    const auto list = send_http_request(discovery, "GET", "/discovery/hosts", "", timeout_ms);
-    if (!list || list->status != 200) throw CommandError("no list of servers at " + net::to_text(discovery));
-    const auto json = nlohmann::json::parse(list->body, nullptr, false);
-    if (!json.is_object() || !json.contains("members"))
-        throw CommandError("cannot parse the list of servers");
-    for (const auto& member : json["members"]) {
-        if (!member.is_object() || !member.value("id", "").size()) continue;
-        if (const auto endpoint = net::parse_endpoint(member.value("host_port", "")))
-            view.boxes[member["id"]] = *endpoint;
-        view.zones[member["id"]] = member.value("locality", "");
-    }
-    return view;
-}
-
-std::vector<store::JournalMove> moves_between(ShardId shard, Epoch epoch, const std::vector<Replica>& before,
-                                              const std::vector<Replica>& after) {
-    std::vector<store::JournalMove> moves;
-    const auto add = [&](MoveKind kind, ServerNumber from, ServerNumber to) {
-        store::JournalMove move;
-        move.move = {0, shard, from, to, epoch, MoveStep::kPrepare, kind, {}};
-        moves.push_back(std::move(move));
-    };
-    std::vector<ServerNumber> removed, added;
-    for (const auto& each : before) {
-        if (!is_on(after, each.box)) removed.push_back(each.box);
-    }
-    for (const auto& each : after) {
-        if (!is_on(before, each.box)) added.push_back(each.box);
-    }
-    // Copies come first and removals last, so that a shard never has fewer replicas than before.
-    const auto owner = owner_of(before), next = owner_of(after);
-    const bool owner_removed = owner != next && std::erase(removed, owner) > 0;
-    const bool owner_added = owner != next && std::erase(added, next) > 0;
-    if (owner_removed && owner_added) add(MoveKind::kOwner, owner, next);
-    if (owner_added && !owner_removed) add(MoveKind::kCopy, owner, next);
-    while (!removed.empty() && !added.empty()) {
-        add(MoveKind::kReader, removed.back(), added.back());
-        removed.pop_back();
-        added.pop_back();
-    }
-    const auto source = owner_removed && owner_added ? next : owner;
-    for (const auto box : added) add(MoveKind::kCopy, source, box);
-    if (owner != next && !(owner_removed && owner_added)) add(MoveKind::kPass, owner, next);
-    for (const auto box : removed) add(MoveKind::kRemove, box, 0);
-    if (owner_removed && !owner_added) add(MoveKind::kRemove, owner, 0);
-    return moves;
-}
-
 MoveExecutor::MoveExecutor(store::SqlDb& db, MoveExecutorConfig config,
                            std::function<void(const std::string&)> report)
     : journal_(db), config_(std::move(config)), report_(std::move(report)),
--- a/src/tool/shard_carrier.hpp
+++ b/src/tool/shard_carrier.hpp
@@ -11,12 +11,12 @@
 #include <string>
 #include <vector>
 
-#include "placement/map_text.hpp"
 #include "placement/move_desk.hpp"
 #include "placement/mover.hpp"
 #include "store/crash_point.hpp"
 #include "store/move_journal.hpp"
 #include "tool/caller.hpp"
+#include "tool/fleet_view.hpp"
 
 namespace pinedoor::tool {
 
@@ -33,21 +33,6 @@
     placement::MoveQueueConfig desk;
 };
 
-// The map at discovery, and the addresses of the boxes from the server list. Throws CommandError if either is
-// missing.
-struct FleetView {
-    placement::ShardMap map;
-    std::map<std::string, net::Endpoint> boxes;
-    std::map<std::string, std::string> zones;  // by box name
-};
-FleetView fetch_fleet(net::Endpoint discovery, const std::string& path, placement::ServerNames& names,
-                      int timeout_ms);
-
-// Returns the moves that change the replicas from `before` to `after`, one for each changed replica.
-std::vector<store::JournalMove> moves_between(placement::ShardId shard, placement::Epoch epoch,
-                                              const std::vector<placement::Replica>& before,
-                                              const std::vector<placement::Replica>& after);
-
 class MoveExecutor {
 public:
     MoveExecutor(store::SqlDb& db, MoveExecutorConfig config, std::function<void(const std::string&)> report);
--- a/src/tool/shard_commands.cpp
+++ b/src/tool/shard_commands.cpp
@@ -13,6 +13,8 @@
 #include "store/make_backend.hpp"
 #include "tool/command_group.hpp"
 #include "tool/command_line.hpp"
+#include "tool/fleet_view.hpp"
+#include "tool/planned_moves.hpp"
 #include "tool/shard_carrier.hpp"
 #ifdef PINEDOOR_HAS_GLPK
 #include "placement/exact.hpp"
