--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -16,18 +16,20 @@
     // The bytes that were received and not consumed.
     std::string_view held() const { return {bytes_.data() + begin_, end_ - begin_}; }
     bool empty() const { return begin_ == end_; }
+    // Memory that it takes, in bytes.
+    std::size_t capacity() const { return bytes_.capacity(); }
 
     // Consumes `count` bytes from the front.
     void drop(std::size_t count) {
         begin_ += count;
         if (begin_ != end_) return;
         begin_ = end_ = 0;
-        if (bytes_.size() > kInitialBytes) std::vector<char>().swap(bytes_);  // keeps idle connections small
+        if (bytes_.size() > kInitialBytes) std::vector<char>().swap(bytes_);  // idle connections stay small
     }
 
     // Returns at least kMinFreeBytes of writable space behind the held bytes; compacts or grows the buffer.
     std::span<char> room() {
-        if (begin_ > 0) {
+        if (begin_ > 0 && bytes_.size() - end_ < kMinFreeBytes) {
             std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
             end_ -= begin_;
             begin_ = 0;
--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::int64_t kNanosecondsPerTick = 100'000;
+// Time in each round for coroutines that yielded, 1 ms; the first of them is resumed in any case.
+constexpr Moment kYieldedShare = 10;
 
 std::int64_t steady_clock_nanos() {
     return std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -79,6 +81,12 @@
 void Waiter::Wait::await_suspend(std::coroutine_handle<> handle) {
     handle_ = handle;
     waiter_->waiting_ = this;
+    if (interest_ == Waiter::kYield) {
+        waiter_->queued_ = true;
+        auto& scheduler = waiter_->scheduler_;
+        scheduler.yielded_.emplace_back(waiter_->slot_, scheduler.slots_[waiter_->slot_].generation);
+        return;
+    }
     if (until_ != kNever) waiter_->scheduler_.timers_.emplace(until_, waiter_);
     waiter_->check();
 }
@@ -104,7 +112,7 @@
 void Scheduler::run(const std::function<bool()>& until) {
     while (!until()) {
         Moment next = timers_.empty() ? kNever : timers_.begin()->first;
-        if (!ready_.empty() || !deferred_.empty()) next = 0;
+        if (!ready_.empty() || !yielded_.empty() || !deferred_.empty()) next = 0;
         poll(next);
         const Moment round_start = now();
         while (!timers_.empty() && timers_.begin()->first <= round_start) {
@@ -113,6 +121,7 @@
             waiter->signal();
         }
         resume_ready();
+        resume_yielded();
         run_deferred();
         longest_round_ = std::max(longest_round_, now() - round_start);
     }
@@ -144,19 +153,30 @@
 
 void Scheduler::resume_ready() {
     // Handles only the waiters that are queued now: a coroutine that signals itself must not delay the poll.
-    for (auto remaining = ready_.size(); remaining > 0; --remaining) {
-        const auto [index, generation] = ready_.front();
-        ready_.pop_front();
-        auto* waiter = slots_[index].waiter;
-        if (waiter == nullptr || slots_[index].generation != generation) continue;
-        waiter->queued_ = false;
-        auto* wait = std::exchange(waiter->waiting_, nullptr);
-        if (wait == nullptr) continue;
-        timers_.erase({wait->until_, waiter});
-        wait->handle_.resume();
+    for (auto remaining = ready_.size(); remaining > 0; --remaining) resume_first(ready_);
+}
+
+void Scheduler::resume_yielded() {
+    if (yielded_.empty()) return;
+    const Moment share_ends = now() + kYieldedShare;
+    for (auto remaining = yielded_.size(); remaining > 0; --remaining) {
+        resume_first(yielded_);
+        if (now() >= share_ends) return;
     }
 }
 
+void Scheduler::resume_first(ReadyQueue& queue) {
+    const auto [index, generation] = queue.front();
+    queue.pop_front();
+    auto* waiter = slots_[index].waiter;
+    if (waiter == nullptr || slots_[index].generation != generation) return;
+    waiter->queued_ = false;
+    auto* wait = std::exchange(waiter->waiting_, nullptr);
+    if (wait == nullptr) return;
+    timers_.erase({wait->until_, waiter});
+    wait->handle_.resume();
+}
+
 void Scheduler::run_deferred() {
     for (const auto& action : std::exchange(deferred_, {})) action();
 }
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -121,6 +121,9 @@
     // Waits until an event in `interest` is ready, signal() has been called since the last wait, or the time
     // is `until`.
     Wait wait(unsigned interest, Moment until = kNever) { return {*this, interest, until}; }
+    // Waits until all coroutines that are ready have had their turn, for one that could go on at once but has
+    // done its share of work. Those that yield share what is left of each round.
+    Wait yield() { return {*this, kYield, kNever}; }
     // Ends the current wait, or the next one if there is none. Repeated calls before that have the effect of
     // one.
     void signal();
@@ -132,6 +135,8 @@
 
 private:
     friend class Scheduler;
+    static constexpr unsigned kYield = 8;  // as interest of a wait: none but its turn among those that yield
+
     bool due(unsigned interest) const { return signalled_ || (state_ & interest) != 0; }
     void check();
 
@@ -166,8 +171,13 @@
         std::uint32_t generation = 0;
     };
 
+    using ReadyQueue = std::deque<std::pair<std::uint32_t, std::uint32_t>>;  // slot and generation
+
     void poll(Moment until);
     void resume_ready();
+    // Resumes coroutines that yielded, until their share of the round is used up.
+    void resume_yielded();
+    void resume_first(ReadyQueue& queue);
     void run_deferred();
 
     const Fd epoll_;
@@ -175,7 +185,8 @@
     const std::int64_t steady_at_start_;
     std::vector<Slot> slots_;
     std::vector<std::uint32_t> free_slots_;
-    std::deque<std::pair<std::uint32_t, std::uint32_t>> ready_;  // slot and generation
+    ReadyQueue ready_;
+    ReadyQueue yielded_;
     std::set<std::pair<Moment, Waiter*>> timers_;
     std::vector<std::function<void()>> deferred_;
     Moment longest_round_ = 0;
--- a/src/parse/json_objects.cpp
+++ b/src/parse/json_objects.cpp
@@ -1,13 +1,8 @@
 #include "parse/json_objects.hpp"
 
 namespace pinedoor::parse {
-namespace {
-
-bool is_space(char c) { return c == ' ' || c == '\t' || c == '\r' || c == '\n'; }
-
-}  // namespace
-
 std::optional<std::string> JsonObjectSplitter::next() {
+    if (depth_ == 0) buffer_.erase(0, buffer_.find_first_not_of(" \t\r\n"));
     while (!failed_ && scanned_ < buffer_.size()) {
         const bool inside = depth_ > 0;
         scan_char();
@@ -26,10 +21,6 @@
 void JsonObjectSplitter::scan_char() {
     const char c = buffer_[scanned_];
     if (depth_ == 0) {
-        if (is_space(c)) {
-            buffer_.erase(0, 1);
-            return;
-        }
         if (c != '{') {
             failed_ = true;
             return;
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -18,7 +18,12 @@
 void RetryBudget::record(const Entry& entry) {
     const Time keep_from = inboxes_.now - config_.look_back - slack_;
     while (!log_.empty() && log_.front().when < keep_from) log_.pop_front();
-    log_.push_back(entry);
+    if (log_.empty() || log_.back().when != entry.when) {
+        log_.push_back(entry);
+        return;
+    }
+    log_.back().received += entry.received;
+    log_.back().further_sends += entry.further_sends;
 }
 
 int RetryBudget::received_after(Time when) const {
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -33,7 +33,7 @@
     Inboxes& inboxes_;
     const FurtherSendConfig config_;
     const Time slack_;
-    std::deque<Entry> log_;  // entries that still count, oldest first
+    std::deque<Entry> log_;  // entries that still count, one for each turn, oldest first
 };
 
 }  // namespace pinedoor::policy
--- a/src/service/counters.cpp
+++ b/src/service/counters.cpp
@@ -12,6 +12,8 @@
     "multigets_failed",
     "clients_gone",
     "bad_requests",
+    "clients_evicted",
+    "clients_yielded",
     "sends",
     "sends_returned",
     "sends_error",
--- a/src/service/counters.hpp
+++ b/src/service/counters.hpp
@@ -19,6 +19,8 @@
     kFailed,
     kClientsGone,
     kBadRequests,
+    kClientsEvicted,
+    kClientsYielded,
     kSends,
     kReturned,
     kError,
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
 #include <set>
 
 namespace pinedoor::service {
 namespace {
 
+// Parts of new multigets that a turn handles; those of the last one may exceed it. The others wait for the
+// next turn, so that a turn does not keep the event loop.
+constexpr std::size_t kMaxNewPartsPerTurn = 4096;
 std::string_view name_of(const MultigetResult& ending) {
     switch (ending.kind) {
         case MultigetResult::Kind::kAnswered: return ending.whole ? "answered whole" : "answered in part";
@@ -61,11 +65,7 @@
     last_turn_at_ = now;
     next_turn_at_ = now + turn_interval_;
     counters_.add(Count::kTurns);
-    auto events = std::exchange(events_, {});
-    // If the process was suspended, list changes and requests may arrive in one turn: the list changes are
-    // applied first, so that they count for these requests.
-    std::stable_partition(events.begin(), events.end(),
-                          [](const Event& event) { return std::holds_alternative<ListUpdate>(event); });
+    auto events = take_events();
     while (!timers_.empty() && timers_.begin()->first <= now) {
         events.emplace_back(TimerFired{timers_.begin()->second});
         timers_.erase(timers_.begin());
@@ -76,6 +76,21 @@
     transport_->flush();
 }
 
+std::vector<Event> Dispatcher::take_events() {
+    // If the process was suspended, list changes and requests may arrive in one turn: the list changes are
+    // applied first, so that they count for these requests.
+    std::stable_partition(events_.begin(), events_.end(),
+                          [](const Event& event) { return std::holds_alternative<ListUpdate>(event); });
+    std::size_t new_parts = 0;
+    auto end = events_.begin();
+    for (; end != events_.end() && new_parts < kMaxNewPartsPerTurn; ++end) {
+        if (const auto* arrival = std::get_if<MultigetArrival>(&*end)) new_parts += arrival->parts.size();
+    }
+    std::vector<Event> later(std::make_move_iterator(end), std::make_move_iterator(events_.end()));
+    events_.erase(end, events_.end());
+    return std::exchange(events_, std::move(later));
+}
+
 void Dispatcher::enqueue(Event event) {
     events_.push_back(std::move(event));
     waiter_.signal();
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -157,6 +157,8 @@
     net::Task run();
     void run_turn(Time now);
     void enqueue(Event event);
+    // Removes the events of one turn from the queue: all of them, unless they bring very many parts.
+    std::vector<Event> take_events();
     // Removes an outstanding send and counts its outcome. Returns its part, or the end iterator if its
     // multiget is no longer open, or nothing if the send was not outstanding.
     std::optional<std::map<Id, OpenPart>::iterator> take_send(const PartSend& call, Outcome outcome);
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -63,6 +63,18 @@
     return std::min(descriptors.for_clients(), launch.memory() / 2 / (kLargest.head + kLargest.body));
 }
 
+ClientSideConfig client_side_config(const stated::LaunchConfig& launch, const DescriptorBudget& descriptors,
+                                    bool accepts_keys) {
+    const auto& settings = launch.settings();
+    ClientSideConfig config;
+    config.listen = launch.listen();
+    config.vocabulary = {settings.op_type_names(), settings.tenant_names(), settings.shards(), accepts_keys};
+    config.write_timeout = longest_timeout(settings);
+    config.first_request_time = settings.send_config().connect_timeout;
+    config.max_connections = max_clients(launch, descriptors);
+    return config;
+}
+
 }  // namespace
 
 FrontNodeService::FrontNodeService(net::Scheduler& scheduler, const stated::LaunchConfig& launch,
@@ -85,10 +97,8 @@
       list_client_(scheduler, dispatcher_, counters_, log_, launch.discovery(),
                    launch.settings().zone_names()),
       client_connections_(
-          scheduler, request_handler(), counters_, log_, launch.listen(), launch.settings().op_type_names(),
-          launch.settings().tenant_names(), launch.settings().shards(), longest_timeout(launch.settings()),
-          launch.settings().send_config().connect_timeout, max_clients(launch, descriptors_),
-          keeper_ != nullptr, [this] { return print_counters(); },
+          scheduler, request_handler(), counters_, log_,
+          client_side_config(launch, descriptors_, keeper_ != nullptr), [this] { return print_counters(); },
           [this] { return dispatcher_.has_servers(); }),
       reload_waiter_(scheduler) {
     if (limiter_ && limiter_->limits_connections())
