What peers send is paid from budgets of memory, counted as allocated

Cause: limits counted the bytes that came. A head of 16 KB could hold 3,200 fields of five bytes, each a tree node and two strings of over 110 bytes: 350 KB a connection. The number of connections was computed from the bytes of a head and a body, half of the memory for both, and nothing held their sum.

Each connection of a client is charged for its buffers, fields, body, open multiget and unread answer, as allocated. Over the budget those that held most for longest are closed with 503; a connection may always hold an ordinary request. A head has 100 fields at most (431); a chunked request's framing, a JSON tree and a query's copies in a frame are bounded; a buffer grows to its limit and not to the next power of two. Values over the size of an answer, or over the budget, count as errors of that server; a connection to a server that holds most is closed over its budget; names of cancelled parts are kept as hashes. A list names 8,192 servers at most, with ids of 255 bytes.

Gauges and counters show use, most, limit and refusals; evictions are logged.

Class: memory counted in bytes received and not in bytes held.

--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -27,6 +27,7 @@
     bool broken() const { return broken_; }
 
     Buffer& buffer() { return buffer_; }
+    const Buffer& buffer() const { return buffer_; }
     Waiter& waiter() { return waiter_; }
     const Fd& fd() const { return fd_; }
 
--- a/src/parse/http.cpp
+++ b/src/parse/http.cpp
@@ -21,6 +21,13 @@
     return text;
 }
 
+// Allocated for an entry of a map of strings besides its strings' characters: the tree's node.
+constexpr std::size_t kHeaderNodeBytes = 48 + 2 * sizeof(std::string);
+
+// The lines between the chunks of a request take at most this many bytes for each byte of the largest body;
+// a chunk of one byte takes six.
+constexpr std::size_t kMaxFramingFactor = 8;
+
 bool parse_size(std::string_view text, int base, std::size_t& value) {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
     return error == std::errc{} && end == text.data() + text.size() && !text.empty();
@@ -76,6 +83,7 @@
             fail(431, "the head is too large");
             break;
         }
+        if (!framing_fits(piece.size())) break;
         line_ += piece;
         if (end == std::string_view::npos) break;
         line_.pop_back();
@@ -142,7 +150,9 @@
     std::string name(line.substr(0, colon));
     std::transform(name.begin(), name.end(), name.begin(), to_lower);
     const std::string value(trimmed(line.substr(colon + 1)));
+    if (++fields_ > limits_.fields) return fail(431, "too many header fields");
     const auto [entry, is_new] = headers_.emplace(name, value);
+    header_bytes_ += kHeaderNodeBytes + name.size() + value.size();
     if (is_new) return;
     // Conflicting lengths would let two parsers see different messages (request smuggling).
     if (name == "content-length" && entry->second != value) return fail(400, "contradictory lengths");
@@ -181,6 +191,7 @@
 std::size_t HttpParser::append_body(std::string_view bytes) {
     const auto piece = bytes.substr(0, std::min(remaining_, bytes.size()));
     body_bytes_ += piece.size();
+    reserve_body(piece.size());
     body_ += piece;
     remaining_ -= piece.size();
     // A streaming response has no final size, so the limit applies only to the bytes not yet taken.
@@ -192,6 +203,25 @@
     return piece.size();
 }
 
+// The buffer doubles, but not beyond the largest body.
+void HttpParser::reserve_body(std::size_t more) {
+    const auto needed = body_.size() + more;
+    if (needed <= body_.capacity()) return;
+    body_.reserve(std::max(needed, std::min(2 * body_.capacity(), limits_.body)));
+}
+
+bool HttpParser::framing_fits(std::size_t bytes) {
+    if (kind_ == Kind::kResponse || state_ != State::kBody) return true;  // a stream has no end
+    framing_bytes_ += bytes;
+    if (framing_bytes_ <= kMaxFramingFactor * limits_.body + limits_.head) return true;
+    fail(413, "the chunks are too many");
+    return false;
+}
+
+std::size_t HttpParser::memory() const {
+    return line_.capacity() + body_.capacity() + method_.capacity() + target_.capacity() + header_bytes_;
+}
+
 void HttpParser::fail(int status, const char* text) {
     error_status_ = status;
     error_text_ = text;
--- a/src/parse/http.hpp
+++ b/src/parse/http.hpp
@@ -13,6 +13,7 @@
 struct HttpLimits {
     std::size_t head = 16 * 1024;  // start line and headers; applies to the trailers too
     std::size_t body = 64 * 1024;  // of a response: bytes not yet taken by take_body()
+    std::size_t fields = 100;      // header fields, each of which costs more memory than its bytes
 };
 
 // Parses one request or response from bytes that arrive in pieces of any size.
@@ -44,6 +45,8 @@
     bool expects_continue() const;
     // Returns the body bytes that were received since the last call.
     std::string take_body() { return std::exchange(body_, {}); }
+    // Memory that the message holds, as allocated, in bytes.
+    std::size_t memory() const;
 
 private:
     enum class Step { kStart, kHeaders, kLength, kChunkSize, kChunk, kChunkEnd, kTrailers, kDone, kBad };
@@ -54,6 +57,8 @@
     void end_head();
     void parse_chunk_size(std::string_view line);
     std::size_t append_body(std::string_view bytes);
+    void reserve_body(std::size_t more);
+    bool framing_fits(std::size_t bytes);
     void fail(int status, const char* text);
     void set_step(Step step);
 
@@ -67,12 +72,15 @@
     std::string line_;
     std::size_t head_bytes_ = 0;
     std::size_t body_bytes_ = 0;
-    std::size_t remaining_ = 0;  // bytes of the body or the chunk
+    std::size_t framing_bytes_ = 0;  // of a chunked request: lines between the chunks
+    std::size_t remaining_ = 0;      // bytes of the body or the chunk
     std::string method_;
     std::string target_;
     int minor_version_ = 1;
     int status_ = 0;
     std::map<std::string, std::string> headers_;
+    std::size_t header_bytes_ = 0;  // allocated for headers_
+    std::size_t fields_ = 0;
     std::string body_;
 };
 
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -7,6 +7,11 @@
 namespace pinedoor::parse {
 namespace {
 
+// Allocated for a member of an object besides its name's characters and its value: the tree's node.
+constexpr std::size_t kMemberNodeBytes = 48 + sizeof(std::string);
+// A list doubles as it grows, and so takes up to two places for each of its values.
+constexpr std::size_t kPlacesPerListValue = 2;
+
 bool is_space(char c) { return c == ' ' || c == '\t' || c == '\n' || c == '\r'; }
 bool is_word(char c) {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || c == 'E' || c == '+' || c == '-' || c == '.';
@@ -177,6 +182,7 @@
 void JsonParser::end_string() {
     lexer_state_ = LexerState::kNothing;
     auto text = std::exchange(text_, {});
+    charge(text.capacity());
     if (expect_ == Expect::kName || expect_ == Expect::kNameOrEnd) {
         levels_.back().name = std::move(text);
         expect_ = Expect::kColon;
@@ -215,7 +221,14 @@
     add_value(std::move(value));
 }
 
+void JsonParser::charge(std::size_t bytes) {
+    memory_ += bytes;
+    if (memory_ > limits_.memory) reject("too many values");
+}
+
 void JsonParser::add_value(Json value) {
+    const bool in_list = !levels_.empty() && levels_.back().value.list() != nullptr;
+    charge(in_list ? kPlacesPerListValue * sizeof(Json) : kMemberNodeBytes + sizeof(Json));
     expect_ = levels_.empty() ? Expect::kNothing : Expect::kCommaOrEnd;
     if (levels_.empty()) {
         root_ = std::move(value);
--- a/src/parse/json.hpp
+++ b/src/parse/json.hpp
@@ -53,6 +53,8 @@
 struct JsonLimits {
     std::size_t bytes = 64 * 1024;
     std::size_t depth = 16;  // nested lists and objects
+    // Memory of the tree, as allocated, in bytes. A value of one byte of text takes a node of many bytes.
+    std::size_t memory = 1024 + 32 * bytes;
 };
 
 // Parses one JSON value from text that arrives in pieces of any size.
@@ -78,10 +80,12 @@
     void open(Json value, Expect next);
     void close(char c);
     void add_value(Json value);
+    void charge(std::size_t bytes);
     [[noreturn]] void reject(const char* reason) const;
 
     const JsonLimits limits_;
     std::size_t offset_ = 0;  // bytes read
+    std::size_t memory_ = 0;  // bytes that the tree takes
     Expect expect_ = Expect::kValue;
     std::vector<Level> levels_;
     Json root_;
--- a/src/service/client_connection.hpp
+++ b/src/service/client_connection.hpp
@@ -10,14 +10,24 @@
 
 #include "net/stream.hpp"
 #include "parse/http.hpp"
+#include "service/input_budgets.hpp"
 #include "service/request_handler.hpp"
 
 namespace pinedoor::service {
 
 struct ClientConnection {
-    ClientConnection(net::Scheduler& scheduler, net::Fd fd, std::uint64_t number_of)
-        : number(number_of), stream(scheduler, std::move(fd)), phase_since(scheduler.now()) {}
-
+    // Allocated for a connection besides its buffers: this object, its coroutine's frame and its places in
+    // lists and sets, in bytes.
+    static constexpr std::size_t kFixedBytes = 4096;
+
+    ClientConnection(net::Scheduler& scheduler, net::Fd fd, MemoryBudget& budget, std::uint64_t number_of)
+        : number(number_of), stream(scheduler, std::move(fd)), phase_since(scheduler.now()), memory(budget) {}
+
+    // What it holds now, as allocated, in bytes.
+    std::size_t held_bytes() const {
+        return kFixedBytes + stream.buffer().capacity() + (request ? request->memory() : 0) + multiget_bytes +
+               output_bytes;
+    }
     const std::uint64_t number;  // unique in this process
     net::Stream stream;
     // kNew: no complete request yet; kIdle: between two requests; kReading: a request is partly read; kBusy:
@@ -25,14 +35,18 @@
     enum class Phase { kNew, kIdle, kReading, kBusy, kWriting, kLeaving } phase = Phase::kNew;
     Time phase_since = 0;
     bool close_when_idle = false;  // to be closed when idle
-    bool evicted = false;          // to be closed unless a complete request has been read
-    Time share_ends = 0;           // when it has done its share of work for this turn of the event loop
+    // To be closed unless a complete request has been read; for memory: also if an answer is being written.
+    enum class Eviction { kNone, kForDescriptor, kForMemory } eviction = Eviction::kNone;
+    Time share_ends = 0;  // when it has done its share of work for this turn of the event loop
     // When the first bytes of a pipelined request, behind the open one, were read; 0: none were.
     Time next_arrived_at = 0;
 
     std::unique_ptr<parse::HttpParser> request;  // the one being read or worked on
     Ticket ticket = 0;                           // of the open multiget; 0: none
     std::optional<MultigetResult> result;
+    std::size_t multiget_bytes = 0;  // that the open multiget takes in this process, at most
+    std::size_t output_bytes = 0;    // of the answer being written
+    MemoryCharge memory;
     net::Task task;  // last member: destroyed first
 };
 
--- a/src/service/client_eviction.cpp
+++ b/src/service/client_eviction.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using Phase = ClientConnection::Phase;
+using Eviction = ClientConnection::Eviction;
 
 constexpr Time kWriteGrace = 10'000;  // time in which a client usually reads its answer: 1 s
 // While connections without a first request take more than this fraction of all, they go before idle ones.
@@ -28,10 +29,21 @@
 }
 
 bool can_free_descriptor(const ClientConnection& connection, Time now) {
-    if (connection.evicted || connection.phase == Phase::kBusy) return false;
+    if (connection.eviction != Eviction::kNone || connection.phase == Phase::kBusy) return false;
     return connection.phase != Phase::kWriting || now - connection.phase_since >= kWriteGrace;
 }
 
+bool can_free_memory(const ClientConnection& connection) {
+    return connection.eviction == Eviction::kNone && connection.phase != Phase::kBusy &&
+           connection.memory.bytes() > 2 * ClientConnection::kFixedBytes;
+}
+
+// Memory held times the time for which it was held: a large request that arrives at once costs little.
+double memory_cost(const ClientConnection& connection, Time now) {
+    return static_cast<double>(connection.memory.bytes()) *
+           static_cast<double>(1 + now - connection.phase_since);
+}
+
 }  // namespace
 
 ClientConnection* pick_for_descriptor(const ClientConnectionList& connections, Time now,
@@ -50,4 +62,27 @@
     return first;
 }
 
+std::vector<ClientConnection*> pick_for_memory(const ClientConnectionList& connections, Time now,
+                                               std::size_t bytes) {
+    std::vector<ClientConnection*> candidates;
+    for (const auto& connection : connections) {
+        if (can_free_memory(*connection)) candidates.push_back(connection.get());
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [now](const auto* a, const auto* b) { return memory_cost(*a, now) > memory_cost(*b, now); });
+    std::size_t freed = 0;
+    std::size_t count = 0;
+    while (count < candidates.size() && freed < bytes) freed += candidates[count++]->memory.bytes();
+    candidates.resize(count);
+    return candidates;
+}
+
+std::size_t bytes_being_freed(const ClientConnectionList& connections) {
+    std::size_t sum = 0;
+    for (const auto& connection : connections) {
+        if (connection->eviction == Eviction::kForMemory) sum += connection->memory.bytes();
+    }
+    return sum;
+}
+
 }  // namespace pinedoor::service
--- a/src/service/client_eviction.hpp
+++ b/src/service/client_eviction.hpp
@@ -1,4 +1,4 @@
-// Which client connections make room when descriptors run out.
+// Which client connections make room when descriptors or memory run out.
 #pragma once
 
 #include <cstddef>
@@ -13,4 +13,12 @@
 ClientConnection* pick_for_descriptor(const ClientConnectionList& connections, Time now,
                                       Time first_request_time, std::size_t capacity);
 
+// The connections that free at least `bytes` together, those first that held most for longest; fewer bytes if
+// no more can be freed.
+std::vector<ClientConnection*> pick_for_memory(const ClientConnectionList& connections, Time now,
+                                               std::size_t bytes);
+
+// What evicted connections will give back, in bytes.
+std::size_t bytes_being_freed(const ClientConnectionList& connections);
+
 }  // namespace pinedoor::service
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -13,6 +13,7 @@
 
 using State = parse::HttpParser::State;
 using Phase = ClientConnection::Phase;
+using Eviction = ClientConnection::Eviction;
 
 constexpr Time kSecond = 10'000;
 // New connections arrive for up to 0.4 s after SIGTERM; each time limit is 50 ms longer on sockets.
@@ -34,6 +35,16 @@
 
 // Work of one connection in a turn: 0.2 ms.
 constexpr Time kShareOfWork = 2;
+// The most that one read adds to what a connection holds: a buffer that doubles to the largest body.
+constexpr std::size_t kMaxGrowthBytes = 64 * 1024;
+// What each connection may hold, whatever the others do: enough for an ordinary request.
+constexpr std::size_t kAssuredBytes = 3 * ClientConnection::kFixedBytes;
+constexpr Time kMemoryRetryDelay = 10;  // 1 ms
+constexpr std::size_t kMemoryReserveDivisor = 8;
+// Allocated for an open multiget besides its query, and for each of its parts, at most, in bytes.
+constexpr std::size_t kMultigetBytes = 2048;
+constexpr std::size_t kPartBytes = 1024;
+
 std::string format_seconds(Time time) {
     const auto rest = std::to_string(kSecond + time % kSecond).substr(1);
     return std::to_string(time / kSecond) + '.' + rest;
@@ -45,14 +56,18 @@
 
 std::string text_line(const std::string& text) { return text.empty() ? text : text + '\n'; }
 
+std::size_t bytes_of(const MultigetRequest& multiget) {
+    return kMultigetBytes + 2 * multiget.query.capacity() + kPartBytes * multiget.parts.size();
+}
+
 }  // namespace
 
 ClientConnections::ClientConnections(net::Scheduler& scheduler, RequestHandler& handler, Counters& counters,
-                                     Log& log, ClientSideConfig config,
+                                     Log& log, MemoryBudget& memory, ClientSideConfig config,
                                      std::function<std::string()> print_counters,
                                      std::function<bool()> is_ready)
-    : scheduler_(scheduler), handler_(handler), counters_(counters), log_(log), config_(std::move(config)),
-      parser_(config_.vocabulary), print_counters_(std::move(print_counters)),
+    : scheduler_(scheduler), handler_(handler), counters_(counters), log_(log), memory_(memory),
+      config_(std::move(config)), parser_(config_.vocabulary), print_counters_(std::move(print_counters)),
       is_ready_(std::move(is_ready)) {}
 
 void ClientConnections::start() {
@@ -143,10 +158,11 @@
 }
 
 void ClientConnections::add_connection(net::Fd fd) {
-    auto accepted = std::make_unique<Connection>(scheduler_, std::move(fd), ++last_number_);
+    auto accepted = std::make_unique<Connection>(scheduler_, std::move(fd), memory_, ++last_number_);
     counters_.add(Count::kClientsAccepted);
     auto& connection = *connections_.emplace_back(std::move(accepted));
     peak_connections_ = std::max(peak_connections_, connections_.size());
+    update_memory(connection);
     begin_share(connection);
     connection.task = run_connection(connection);
     connection.task.start([this, at = &connection](std::exception_ptr failure) {
@@ -164,14 +180,18 @@
     });
 }
 
-// --- Shares ---
+// --- Budgets ---
 
-void ClientConnections::evict(Connection& connection) {
-    connection.evicted = true;
+void ClientConnections::evict(Connection& connection, Eviction reason) {
+    const bool for_memory = reason == Eviction::kForMemory;
+    connection.eviction = reason;
     connection.stream.waiter().signal();
-    counters_.add(Count::kClientsEvicted);
-    log_.event(Level::kInfo, "client_evicted", "a client's connection is closed: its descriptor is wanted",
+    counters_.add(for_memory ? Count::kClientsEvictedForMemory : Count::kClientsEvicted);
+    log_.event(Level::kInfo, "client_evicted",
+               for_memory ? "a client's connection is closed: its memory is wanted"
+                          : "a client's connection is closed: its descriptor is wanted",
                {{"client", std::to_string(connection.number)},
+                {"bytes", std::to_string(connection.memory.bytes())},
                 {"phase_ms", std::to_string((scheduler_.now() - connection.phase_since) / 10)}});
 }
 
@@ -182,11 +202,29 @@
         auto* const connection = pick_for_descriptor(connections_, scheduler_.now(),
                                                      config_.first_request_time, config_.max_connections);
         if (connection == nullptr) return;
-        evict(*connection);
+        evict(*connection, Eviction::kForDescriptor);
     }
     evictions_wanted_ = std::min(2 * evictions_wanted_, kMaxEvictionsPerTurn);
 }
 
+void ClientConnections::free_memory() {
+    const auto reserve = std::max(memory_.limit() / kMemoryReserveDivisor, 2 * kMaxGrowthBytes);
+    const auto target = memory_.limit() - std::min(memory_.limit(), reserve);
+    const auto remaining = memory_.used() - bytes_being_freed(connections_);
+    if (remaining <= target) return;
+    for (auto* connection : pick_for_memory(connections_, scheduler_.now(), remaining - target))
+        evict(*connection, Eviction::kForMemory);
+}
+
+void ClientConnections::update_memory(Connection& connection) {
+    connection.memory.set(connection.held_bytes());
+    if (!memory_.has_room(0)) free_memory();
+}
+
+bool ClientConnections::may_hold_more(const Connection& connection) const {
+    return memory_.has_room(kMaxGrowthBytes) || connection.memory.bytes() <= kAssuredBytes;
+}
+
 void ClientConnections::begin_share(Connection& connection) {
     connection.share_ends = scheduler_.now() + kShareOfWork;
 }
@@ -210,36 +248,44 @@
         for (;;) {  // reads one request
             note_first_bytes(connection, arrived);
             stream.buffer().drop(request.feed(stream.buffer().held()));
+            update_memory(connection);
             if (request.state() == State::kDone || request.state() == State::kBad) break;
             if (request.state() == State::kBody && request.expects_continue() && !sent_continue) {
                 sent_continue = true;
                 stream.write("HTTP/1.1 100 Continue\r\n\r\n");
             }
+            if (connection.eviction == Eviction::kForMemory && arrived != 0) break;
             if (has_done_share(connection)) {
                 co_await waiter.yield();
                 begin_share(connection);
             }
             // Read before a close: a request that crosses it is still served.
-            const bool closes = connection.evicted || connection.close_when_idle;
-            if (waiter.may(net::kRead) || closes) {
+            const bool closes = connection.eviction != Eviction::kNone || connection.close_when_idle;
+            const bool may_read = may_hold_more(connection);
+            if (may_read && (waiter.may(net::kRead) || closes)) {
                 const auto got = stream.read();
                 if (got == net::Stream::Got::kBytes) continue;
                 if (got != net::Stream::Got::kNothing) co_return;
             }
             if (arrived == 0 && closes) co_return;
             // Part of a request has been read: answer with an error.
-            if (connection.evicted) break;
+            if (connection.eviction != Eviction::kNone) break;
             const bool idle = connection.phase == Phase::kIdle;
             const Time read_deadline = connection.phase_since + (idle ? kIdleTimeout : kRequestTimeout);
             if (scheduler_.now() >= read_deadline) {
                 if (arrived == 0) co_return;
                 break;
             }
-            co_await waiter.wait(net::kRead, read_deadline);
+            if (may_read) {
+                co_await waiter.wait(net::kRead, read_deadline);
+            } else {
+                free_memory();
+                co_await waiter.wait(0, std::min(read_deadline, scheduler_.now() + kMemoryRetryDelay));
+            }
             begin_share(connection);
         }
         connection.phase = Phase::kBusy;
-        const bool evicted = std::exchange(connection.evicted, false);
+        const bool evicted = std::exchange(connection.eviction, Eviction::kNone) != Eviction::kNone;
         std::optional<Reply> reply;
         if (evicted && request.state() != State::kDone) {
             reply = Reply{503, "", "no room\n", true};
@@ -263,12 +309,14 @@
         connection.phase = Phase::kWriting;
         connection.phase_since = scheduler_.now();
         while (!text.empty()) {
+            connection.output_bytes = text.capacity();
+            update_memory(connection);
             const Time deadline = scheduler_.now() + config_.write_timeout;
             for (std::size_t written = 0; written < text.size();) {
                 written += stream.write(std::string_view(text).substr(written));
                 if (stream.broken() || scheduler_.now() >= deadline) co_return;
                 if (written == text.size()) break;
-                if (connection.evicted) co_return;
+                if (connection.eviction != Eviction::kNone) co_return;
                 co_await waiter.wait(net::kWrite, deadline);
                 begin_share(connection);
             }
@@ -278,16 +326,18 @@
             }
             text.clear();
         }
+        connection.output_bytes = 0;
         connection.phase = Phase::kIdle;
         connection.phase_since = scheduler_.now();
     }
     // Closing a connection with unread input resets it and may destroy the answer in transit.
     net::shutdown_write(stream.fd());
     connection.phase = Phase::kLeaving;
-    connection.evicted = false;
+    connection.eviction = Eviction::kNone;
+    update_memory(connection);
     const Time deadline = scheduler_.now() + kSecond;
-    for (std::size_t discarded = 0;
-         discarded < kMaxTrailingBytes && !connection.evicted && scheduler_.now() < deadline;) {
+    for (std::size_t discarded = 0; discarded < kMaxTrailingBytes && connection.eviction == Eviction::kNone &&
+                                    scheduler_.now() < deadline;) {
         if (waiter.may(net::kRead)) {
             const auto got = stream.read();
             discarded += stream.buffer().held().size();
@@ -342,13 +392,23 @@
     auto parsed = parser_.parse(*connection.request, arrived, answer_until_);
     if (const auto* fault = std::get_if<RequestFault>(&parsed)) return bad_request(400, fault->text);
     auto& multiget = std::get<MultigetRequest>(parsed);
+    const auto bytes = bytes_of(multiget);
+    if (!memory_.has_room(bytes)) {
+        counters_.add(Count::kRequestsWithoutMemory);
+        free_memory();
+        return Reply{503, "", "no memory for this request\n"};
+    }
     const auto [acceptance, ticket] =
         handler_.ask(std::move(multiget), [at = &connection](MultigetResult ending) {
             at->result = std::move(ending);
             at->stream.waiter().signal();
         });
     switch (acceptance) {
-        case Acceptance::kTaken: connection.ticket = ticket; return std::nullopt;
+        case Acceptance::kTaken:
+            connection.ticket = ticket;
+            connection.multiget_bytes = bytes;
+            update_memory(connection);
+            return std::nullopt;
         case Acceptance::kNoRoom: return Reply{503, "", "no room\n"};
         case Acceptance::kNameInUse: break;
     }
@@ -358,6 +418,7 @@
 ClientConnections::Reply ClientConnections::finish_multiget(Connection& connection) {
     const auto result = *std::exchange(connection.result, std::nullopt);
     connection.ticket = 0;
+    connection.multiget_bytes = 0;
     return make_reply(result);
 }
 
@@ -388,6 +449,9 @@
     std::string out;
     append_line(out, "clients_open", connections_.size());
     append_line(out, "clients_open_most_at_once", peak_connections_);
+    append_line(out, "client_memory_bytes", memory_.used());
+    append_line(out, "client_memory_bytes_most", memory_.most_used());
+    append_line(out, "client_memory_bytes_limit", memory_.limit());
     return out;
 }
 
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -1,6 +1,7 @@
 // HTTP connections of clients: reads multigets, submits them and writes their answers.
 //
-// Each connection does a bounded share of work before the others have their turn.
+// Each connection does a bounded share of work before the others have their turn. What it holds is paid from
+// a budget of memory; over it, the connections that held most for longest are closed.
 #pragma once
 
 #include <cstddef>
@@ -15,6 +16,7 @@
 #include "parse/http.hpp"
 #include "service/client_connection.hpp"
 #include "service/counters.hpp"
+#include "service/input_budgets.hpp"
 #include "service/log.hpp"
 #include "service/multiget_parser.hpp"
 #include "service/request_handler.hpp"
@@ -33,8 +35,8 @@
 class ClientConnections {
 public:
     ClientConnections(net::Scheduler& scheduler, RequestHandler& handler, Counters& counters, Log& log,
-                      ClientSideConfig config, std::function<std::string()> print_counters,
-                      std::function<bool()> is_ready);
+                      MemoryBudget& memory, ClientSideConfig config,
+                      std::function<std::string()> print_counters, std::function<bool()> is_ready);
 
     void start();
     // Begins a graceful shutdown: accepts connections for as long as new ones may arrive, then closes idle
@@ -60,9 +62,13 @@
     void add_connection(net::Fd fd);
     void remove(Connection& connection);
 
-    void evict(Connection& connection);
+    void evict(Connection& connection, Connection::Eviction reason);
     // Evicts connections whose descriptors are wanted; the more, the longer some have been waiting.
     void free_descriptors();
+    void free_memory();
+    void update_memory(Connection& connection);
+    // Whether the connection may read more of its request.
+    bool may_hold_more(const Connection& connection) const;
 
     void begin_share(Connection& connection);
     bool has_done_share(Connection& connection);
@@ -82,6 +88,7 @@
     RequestHandler& handler_;
     Counters& counters_;
     Log& log_;
+    MemoryBudget& memory_;
     const ClientSideConfig config_;
     const MultigetParser parser_;
     const std::function<std::string()> print_counters_;
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -11,6 +11,12 @@
 // Parts of new multigets that a turn handles; those of the last one may exceed it. The others wait for the
 // next turn, so that a turn does not keep the event loop.
 constexpr std::size_t kMaxNewPartsPerTurn = 4096;
+// The largest answer: a body of HTTP as the protocol allows it.
+constexpr std::size_t kMaxAnswerBytes = 64 * 1024;
+// Servers that are known at a time, listed ones and those that still have something outstanding. The largest
+// supported fleet has 3,200.
+constexpr std::size_t kMaxServers = 8192;
+
 std::string_view name_of(const MultigetResult& ending) {
     switch (ending.kind) {
         case MultigetResult::Kind::kAnswered: return ending.whole ? "answered whole" : "answered in part";
@@ -226,7 +232,7 @@
     if (outcome == Outcome::kReturned && part != parts_.end() && !part->second.answered) {
         part->second.answered = true;
         --open_parts_;
-        part->second.value = std::move(value);
+        keep_value(part->second, std::move(value));
     }
     const Time now = scheduler_.now();
     // The server has just been sent a cancellation of this send. Delay the replacement by one turn, as after
@@ -236,6 +242,24 @@
         SendEnded{call.part, call.send_number, call.server, now - call.sent_at, outcome, std::move(load)});
 }
 
+void Dispatcher::keep_value(OpenPart& part, std::string value) {
+    auto& open = multigets_.at(part.multiget);
+    open.value_bytes += value.size();
+    if (value_budget_ != nullptr) {
+        if (!open.value_charge) open.value_charge.emplace(*value_budget_);
+        open.value_charge->set(open.value_bytes);
+    }
+    part.value = std::move(value);
+}
+
+bool Dispatcher::has_room_for_value(Id part, std::size_t bytes) const {
+    const auto at = parts_.find(part);
+    if (at == parts_.end() || at->second.answered) return true;  // it will not be kept
+    const auto& open = multigets_.at(at->second.multiget);
+    return open.value_bytes + bytes <= kMaxAnswerBytes &&
+           (value_budget_ == nullptr || value_budget_->has_room(bytes));
+}
+
 void Dispatcher::finish_moved_send(const PartSend& call, std::uint64_t epoch, std::vector<double> load) {
     const auto found = take_send(call, Outcome::kReturned);
     if (!found) return;
@@ -279,6 +303,10 @@
     ListUpdate news{kind, {}, age < 0 ? ListUpdate::kOld : age, {}, false};
     std::set<ServerId> named;
     for (auto& member : members) {
+        if (servers_.size() >= kMaxServers && !servers_.contains(member.name)) {
+            counters_.add(Count::kListServersWithoutRoom);
+            continue;
+        }
         // A server keeps its id for as long as it is listed, even if its address changes.
         const auto [at, is_new] = servers_.try_emplace(member.name);
         auto& known = at->second;
@@ -400,6 +428,11 @@
     append_line(
         out, "list_age_ms",
         last_list_contact_ == 0 ? 0 : static_cast<std::uint64_t>(scheduler_.now() - last_list_contact_) / 10);
+    if (value_budget_ != nullptr) {
+        append_line(out, "value_memory_bytes", value_budget_->used());
+        append_line(out, "value_memory_bytes_most", value_budget_->most_used());
+        append_line(out, "value_memory_bytes_limit", value_budget_->limit());
+    }
     return out;
 }
 
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -17,6 +17,7 @@
 #include "logic.hpp"
 #include "net/scheduler.hpp"
 #include "service/counters.hpp"
+#include "service/input_budgets.hpp"
 #include "service/log.hpp"
 #include "service/request_handler.hpp"
 #include "service/request_log.hpp"
@@ -83,6 +84,8 @@
     Dispatcher(net::Scheduler& scheduler, FrontNode node, Time turn_interval, int max_open, int max_sends,
                Counters& counters, Log& log);
 
+    // Values of open multigets are paid from this budget; without one they are not bounded together.
+    void set_value_budget(MemoryBudget& budget) { value_budget_ = &budget; }
     void attach(SendTransport& transport, ServerListSource& list_source, PartRouting* routing = nullptr);
     // Called after attach() and after the known server list has been loaded.
     void start();
@@ -100,6 +103,8 @@
     bool has_routing() const { return routing_ != nullptr; }
     // Whether the part's multiget is open and the part has no value yet.
     bool needs_value(Id part) const;
+    // Whether a value of this size, in bytes, may be kept until its multiget is answered.
+    bool has_room_for_value(Id part, std::size_t bytes) const;
     std::optional<ServerId> find_server(const std::string& name) const;
 
     // `age` is for kSaved: time since the list was known to be valid; -1: unknown.
@@ -137,6 +142,8 @@
         std::vector<Id> parts;
         bool wants_part_fates = false;
         std::function<void(MultigetResult)> on_end;
+        std::size_t value_bytes = 0;
+        std::optional<MemoryCharge> value_charge;
     };
     struct OpenPart {
         store::PartOutcome fate() const {
@@ -159,6 +166,7 @@
     void enqueue(Event event);
     // Removes the events of one turn from the queue: all of them, unless they bring very many parts.
     std::vector<Event> take_events();
+    void keep_value(OpenPart& part, std::string value);
     // Removes an outstanding send and counts its outcome. Returns its part, or the end iterator if its
     // multiget is no longer open, or nothing if the send was not outstanding.
     std::optional<std::map<Id, OpenPart>::iterator> take_send(const PartSend& call, Outcome outcome);
@@ -193,6 +201,7 @@
     RequestLog request_log_;
     SendTransport* transport_ = nullptr;
     ServerListSource* list_source_ = nullptr;
+    MemoryBudget* value_budget_ = nullptr;
     PartRouting* routing_ = nullptr;  // null: parts are sent as the client asked for them
 
     // Events for the next turn.
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -57,21 +57,29 @@
 // idle connections.
 constexpr std::size_t kIdlePerOpenRequest = 2;
 
-// Half of the memory is for requests of clients, each at its largest size.
-std::size_t max_clients(const stated::LaunchConfig& launch, const DescriptorBudget& descriptors) {
-    constexpr parse::HttpLimits kLargest;
-    return std::min(descriptors.for_clients(), launch.memory() / 2 / (kLargest.head + kLargest.body));
+// Each connection to a server is assured of its first buffers.
+std::size_t max_server_connections(const InputBudgets& budgets, const DescriptorBudget& descriptors) {
+    constexpr std::size_t kAssuredBytes = 8 * 1024;
+    return std::min(descriptors.for_servers(),
+                    std::max<std::size_t>(2, budgets.servers.limit() / kAssuredBytes));
 }
 
-ClientSideConfig client_side_config(const stated::LaunchConfig& launch, const DescriptorBudget& descriptors,
-                                    bool accepts_keys) {
+// Each connection is assured of enough memory for an ordinary request.
+std::size_t max_clients(const InputBudgets& budgets, const DescriptorBudget& descriptors) {
+    constexpr std::size_t kAssuredBytes = 4 * ClientConnection::kFixedBytes;
+    return std::min(descriptors.for_clients(),
+                    std::max<std::size_t>(2, budgets.clients.limit() / kAssuredBytes));
+}
+
+ClientSideConfig client_side_config(const stated::LaunchConfig& launch, const InputBudgets& budgets,
+                                    const DescriptorBudget& descriptors, bool accepts_keys) {
     const auto& settings = launch.settings();
     ClientSideConfig config;
     config.listen = launch.listen();
     config.vocabulary = {settings.op_type_names(), settings.tenant_names(), settings.shards(), accepts_keys};
     config.write_timeout = longest_timeout(settings);
     config.first_request_time = settings.send_config().connect_timeout;
-    config.max_connections = max_clients(launch, descriptors);
+    config.max_connections = max_clients(budgets, descriptors);
     return config;
 }
 
@@ -81,26 +89,27 @@
                                    const stated::NodeSettings& installation, std::FILE* log,
                                    LogOptions log_terms)
     : scheduler_(scheduler), launch_(launch), log_(log, scheduler, counters_, log_terms),
-      descriptors_(launch.sockets()), placement_(make_placement(installation)),
+      descriptors_(launch.sockets()), budgets_(launch.memory()), placement_(make_placement(installation)),
       dispatcher_(scheduler,
                   make_node(launch.seed(), launch.settings(), placement_.get(), installation.placement),
                   launch.settings().node_place().turn, launch.settings().most_open(),
                   launch.settings().send_config().most_sends, counters_, log_),
       keeper_(make_keeper(installation)), peers_(make_peers(installation)),
       limiter_(make_limits(installation)),
-      server_connections_(scheduler, dispatcher_, counters_, log_, launch.settings().report_fields(),
-                          launch.settings().shard_ring().parts_per_call,
+      server_connections_(scheduler, dispatcher_, counters_, log_, budgets_.servers,
+                          launch.settings().report_fields(), launch.settings().shard_ring().parts_per_call,
                           launch.settings().streams_per_connection(),
                           launch.settings().send_config().connect_timeout,
-                          launch.settings().connection_idle(), descriptors_.for_servers(),
+                          launch.settings().connection_idle(), max_server_connections(budgets_, descriptors_),
                           kIdlePerOpenRequest * static_cast<std::size_t>(launch.settings().most_open())),
       list_client_(scheduler, dispatcher_, counters_, log_, launch.discovery(),
                    launch.settings().zone_names()),
       client_connections_(
-          scheduler, request_handler(), counters_, log_,
-          client_side_config(launch, descriptors_, keeper_ != nullptr), [this] { return print_counters(); },
-          [this] { return dispatcher_.has_servers(); }),
+          scheduler, request_handler(), counters_, log_, budgets_.clients,
+          client_side_config(launch, budgets_, descriptors_, keeper_ != nullptr),
+          [this] { return print_counters(); }, [this] { return dispatcher_.has_servers(); }),
       reload_waiter_(scheduler) {
+    dispatcher_.set_value_budget(budgets_.values);
     if (limiter_ && limiter_->limits_connections())
         server_connections_.set_connection_pacing(
             [this](net::Endpoint server) { return limiter_->may_connect(server); });
--- a/src/service/front_door.hpp
+++ b/src/service/front_door.hpp
@@ -14,6 +14,7 @@
 #include "service/descriptors.hpp"
 #include "service/exchange.hpp"
 #include "service/fleet_side.hpp"
+#include "service/input_budgets.hpp"
 #include "service/limit_side.hpp"
 #include "service/list_share.hpp"
 #include "service/list_watch.hpp"
@@ -58,6 +59,7 @@
     Counters counters_;
     Log log_;
     const DescriptorBudget descriptors_;
+    InputBudgets budgets_;                         // declared before the components that hold charges on it
     std::unique_ptr<PlacementHandler> placement_;  // null: shards are placed by the ring
     Dispatcher dispatcher_;
     std::unique_ptr<store::RecordKeeper> keeper_;    // null: nothing is recorded
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -11,6 +11,9 @@
 
 // Bytes of a full list of the largest supported fleet, 3,200 servers, with long names and indentation.
 constexpr std::size_t kMaxListBytes = 4 * 1024 * 1024;
+// Memory of such a list's values, as allocated; an entry takes about 1.5 KB.
+constexpr std::size_t kMaxListMemory = 8 * 1024 * 1024;
+constexpr std::size_t kMaxServerNameBytes = 255;
 constexpr double kMaxMs = 1e13;
 constexpr int kMaxPlaces = 1'000'000;
 
@@ -140,7 +143,7 @@
 
 bool ServerListClient::apply_object(const std::string& text) {
     try {
-        const auto message = parse::parse_json(text, {kMaxListBytes, 8});
+        const auto message = parse::parse_json(text, {kMaxListBytes, 8, kMaxListMemory});
         const bool from_member = listener_ != nullptr && source_ != discovery_;
         if (from_member && message.member("revision") == nullptr && message.member("age_ms") != nullptr)
             return listener_->on_alive(parse_source_info(message)), true;
@@ -228,8 +231,8 @@
     const auto place = number("cell", 0, kMaxPlaces);
     const auto size = number("size", 0, 1e9);
     const auto started = number("up_since_ms", 0, kMaxMs);
-    if (id == nullptr || id->empty() || address == nullptr || phase == nullptr || !place || !size ||
-        !started) {
+    if (id == nullptr || id->empty() || id->size() > kMaxServerNameBytes || address == nullptr ||
+        phase == nullptr || !place || !size || !started) {
         return std::nullopt;
     }
     const auto at = net::parse_endpoint(*address);
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -1,5 +1,7 @@
 #include "service/server_side.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 #include <system_error>
@@ -10,7 +12,10 @@
 namespace {
 
 constexpr std::size_t kMaxFrameBytes = 128 * 1024;  // a value may be as long as a whole answer's body
-constexpr std::size_t kMaxCancelledNames = 1024;    // names of cancelled parts, for each connection
+// A call of several parts is divided if its frame would be larger; the query stands in it once for each part.
+constexpr std::size_t kMaxCallBytes = 128 * 1024;
+constexpr std::size_t kPartOverheadBytes = 128;   // of a part's line in a frame, at most
+constexpr std::size_t kMaxCancelledNames = 1024;  // names of cancelled parts, for each connection
 constexpr Time kTicksPerMs = 10;
 constexpr Time kStallDivisor =
     5;  // the rest of a frame must be written within this fraction of the connect timeout
@@ -18,13 +23,15 @@
     8;  // this fraction of all connections is kept free while others are idle
 constexpr double kMaxReportedValue = 1e9;
 
+std::uint64_t hash_of(std::string_view name) { return XXH3_64bits(name.data(), name.size()); }
+
 }  // namespace
 
 ServerConnections::ServerConnections(net::Scheduler& scheduler, Dispatcher& dispatcher, Counters& counters,
-                                     Log& log, std::vector<std::string> report_fields, int parts_per_call,
-                                     int streams_per_connection, Time connect_timeout, Time idle_timeout,
-                                     std::size_t max_connections, std::size_t max_idle)
-    : scheduler_(scheduler), dispatcher_(dispatcher), counters_(counters), log_(log),
+                                     Log& log, MemoryBudget& memory, std::vector<std::string> report_fields,
+                                     int parts_per_call, int streams_per_connection, Time connect_timeout,
+                                     Time idle_timeout, std::size_t max_connections, std::size_t max_idle)
+    : scheduler_(scheduler), dispatcher_(dispatcher), counters_(counters), log_(log), memory_(memory),
       report_fields_(std::move(report_fields)), parts_per_call_(static_cast<std::size_t>(parts_per_call)),
       streams_(static_cast<std::size_t>(streams_per_connection)), connect_timeout_(connect_timeout),
       // Servers close connections that are idle for the configured time, and a frame written at that moment
@@ -96,11 +103,20 @@
     for (const auto& id : std::exchange(servers_with_sends_, {})) {
         auto& server = servers_.at(id);
         auto calls = std::exchange(server.turn_sends, {});
-        for (std::size_t from = 0; from < calls.size(); from += parts_per_call_) {
-            const auto until = std::min(calls.size(), from + parts_per_call_);
-            assign(server, {calls.begin() + static_cast<std::ptrdiff_t>(from),
-                            calls.begin() + static_cast<std::ptrdiff_t>(until)});
+        std::vector<PartSend> call;
+        std::size_t call_bytes = 0;
+        for (auto& send : calls) {
+            const auto bytes = send.query->size() + kPartOverheadBytes;
+            const bool is_full =
+                call.size() >= parts_per_call_ || (!call.empty() && call_bytes + bytes > kMaxCallBytes);
+            if (is_full) {
+                assign(server, std::exchange(call, {}));
+                call_bytes = 0;
+            }
+            call_bytes += bytes;
+            call.push_back(std::move(send));
         }
+        if (!call.empty()) assign(server, std::move(call));
     }
 }
 
@@ -176,7 +192,7 @@
     auto [fd, error] = net::connect_to(server.endpoint);
     std::unique_ptr<Connection> opened;
     try {
-        if (fd) opened = std::make_unique<Connection>(scheduler_, std::move(fd), server);
+        if (fd) opened = std::make_unique<Connection>(scheduler_, std::move(fd), server, memory_);
     } catch (const std::system_error& failure) {  // not accepted by epoll
         error = failure.code().value();
     }
@@ -262,6 +278,7 @@
     const auto got = connection.stream.read();
     if (got != net::Stream::Got::kBytes) return got;
     connection.last_used = scheduler_.now();
+    update_memory(connection);
     auto& buffer = connection.stream.buffer();
     for (;;) {
         const auto frame = parse::scan_frame(buffer.held(), kMaxFrameBytes);
@@ -325,7 +342,7 @@
             return true;
         }
         auto& cancelled = connection.cancelled_names;
-        const auto cancelled_name = std::find(cancelled.begin(), cancelled.end(), result->id);
+        const auto cancelled_name = std::find(cancelled.begin(), cancelled.end(), hash_of(result->id));
         if (cancelled_name == cancelled.end()) return false;
         cancelled.erase(cancelled_name);
         counters_.add(Count::kLateResults);
@@ -344,13 +361,21 @@
         return true;
     }
     connection.last_answered = result->id;
-    const auto outcome = result->end == parse::ResultStatus::kDone   ? Outcome::kReturned
-                         : result->end == parse::ResultStatus::kFull ? Outcome::kFull
-                                                                     : Outcome::kError;
+    const auto outcome = outcome_of(key, *result);
     finish_send(key, outcome, parse_report(result->report), std::string(result->value));
     return true;
 }
 
+Outcome ServerConnections::outcome_of(const SendKey& key, const parse::Result& result) {
+    if (result.end == parse::ResultStatus::kFull) return Outcome::kFull;
+    if (result.end != parse::ResultStatus::kDone) return Outcome::kError;
+    if (dispatcher_.has_room_for_value(key.first, result.value.size())) return Outcome::kReturned;
+    counters_.add(Count::kValuesRefused);
+    log_.event(Level::kWarning, "value_refused", "a value is too large for its answer, or for the memory",
+               {{"bytes", std::to_string(result.value.size())}});
+    return Outcome::kError;
+}
+
 std::vector<double> ServerConnections::parse_report(std::string_view report) const {
     std::vector<double> values(report_fields_.size());
     std::size_t found = 0;
@@ -413,6 +438,7 @@
         parse::append_part(connection.frame, sent.wire_name, sent.send.shard, time_left_ms, *sent.send.query);
     }
     parse::end_frame(connection.frame);
+    update_memory(connection);
 }
 
 // A server leaves sends beyond the configured number of streams unread, and these could not be withdrawn.
@@ -431,8 +457,9 @@
 }
 
 void ServerConnections::on_frame_written(Connection& connection) {
-    connection.frame.clear();
+    std::string().swap(connection.frame);  // frees its memory
     connection.bytes_written = 0;
+    update_memory(connection);
     connection.frame_started = net::kNever;
     if (connection.writing.empty()) return;
     counters_.add(Count::kCalls);
@@ -490,7 +517,7 @@
     frame += sent.wire_name;
     parse::end_frame(frame);
     connection.cancel_frames += frame;
-    connection.cancelled_names.push_back(sent.wire_name);
+    connection.cancelled_names.push_back(hash_of(sent.wire_name));
     if (connection.cancelled_names.size() > kMaxCancelledNames) connection.cancelled_names.pop_front();
     connection.stream.waiter().signal();
 }
@@ -580,6 +607,28 @@
     if (is_scarce || idle_connections_.size() > max_idle_) close_longest_idle();
 }
 
+void ServerConnections::update_memory(Connection& connection) {
+    connection.memory.set(connection.held_bytes());
+    if (!memory_.has_room(0)) close_largest();
+}
+
+void ServerConnections::close_largest() {
+    Connection* largest = nullptr;
+    for (auto& [id, server] : servers_) {
+        for (auto& connection : server.connections) {
+            if (connection->closing) continue;
+            if (largest == nullptr || connection->memory.bytes() > largest->memory.bytes())
+                largest = connection.get();
+        }
+    }
+    if (largest == nullptr) return;
+    log_.event(Level::kWarning, "connection_over_memory", "a connection to an index server holds too much",
+               {{"server", net::to_text(largest->server.endpoint)},
+                {"bytes", std::to_string(largest->memory.bytes())}});
+    largest->unusable = true;
+    close(*largest, Count::kClosedForMemory);
+}
+
 // With many servers, idle connections to rarely used ones could take up the whole limit, and sends to other
 // servers would be rejected for want of a connection.
 void ServerConnections::close_longest_idle() {
@@ -631,6 +680,9 @@
     append_line(out, "servers_known", servers_.size());
     append_line(out, "connections_open", connection_count_);
     append_line(out, "connections_open_most_at_once", peak_connections_);
+    append_line(out, "server_memory_bytes", memory_.used());
+    append_line(out, "server_memory_bytes_most", memory_.most_used());
+    append_line(out, "server_memory_bytes_limit", memory_.limit());
     return out;
 }
 
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -14,8 +14,10 @@
 #include <vector>
 
 #include "net/stream.hpp"
+#include "parse/frame.hpp"
 #include "service/counters.hpp"
 #include "service/exchange.hpp"
+#include "service/input_budgets.hpp"
 #include "service/log.hpp"
 
 namespace pinedoor::service {
@@ -24,9 +26,9 @@
 class ServerConnections : public SendTransport {
 public:
     ServerConnections(net::Scheduler& scheduler, Dispatcher& dispatcher, Counters& counters, Log& log,
-                      std::vector<std::string> report_fields, int parts_per_call, int streams_per_connection,
-                      Time connect_timeout, Time idle_timeout, std::size_t max_connections,
-                      std::size_t max_idle);
+                      MemoryBudget& memory, std::vector<std::string> report_fields, int parts_per_call,
+                      int streams_per_connection, Time connect_timeout, Time idle_timeout,
+                      std::size_t max_connections, std::size_t max_idle);
 
     // To be called before start(). `may_connect` is called before each new connection and may refuse it.
     void set_connection_pacing(std::function<bool(net::Endpoint)> may_connect) {
@@ -45,11 +47,16 @@
 
     struct Server;
     struct Connection {
-        Connection(net::Scheduler& scheduler, net::Fd fd, Server& to_server)
+        Connection(net::Scheduler& scheduler, net::Fd fd, Server& to_server, MemoryBudget& budget)
             : server(to_server), stream(scheduler, std::move(fd)), opened_at(scheduler.now()),
-              last_used(opened_at) {}
+              last_used(opened_at), memory(budget) {}
 
         std::size_t load() const { return open_sends; }
+        // What its buffers hold now, as allocated, in bytes.
+        std::size_t held_bytes() const {
+            return stream.buffer().capacity() + frame.capacity() + cancel_frames.capacity() +
+                   cancelled_names.size() * sizeof(std::uint64_t);
+        }
         bool busy() const { return open_sends > 0 || !cancel_frames.empty() || bytes_written < frame.size(); }
 
         Server& server;
@@ -57,8 +64,8 @@
         std::deque<std::vector<SendKey>> queued;         // calls of which no byte is written
         std::vector<SendKey> writing;                    // the call whose frame is being written
         std::map<std::string, SendKey> awaiting_answer;  // by the part's name on the wire
-        // Names of cancelled parts, for which a result may still arrive.
-        std::deque<std::string> cancelled_names;
+        // Hashes of the names of cancelled parts, for which a result may still arrive.
+        std::deque<std::uint64_t> cancelled_names;
         std::string cancel_frames;  // cancel frames to be written
         std::string frame;          // frame that is being written
         std::size_t bytes_written = 0;
@@ -82,7 +89,8 @@
         // Since when an answer has been due, be it to a send that was cancelled meanwhile.
         Time unanswered_since = net::kNever;
         std::string last_answered;  // name of the part whose answer was read last
-        net::Task task;             // last member: destroyed first
+        MemoryCharge memory;
+        net::Task task;  // last member: destroyed first
     };
     struct Server {
         ServerId id;
@@ -126,6 +134,8 @@
     Time stall_time(const Connection& connection) const;
     net::Stream::Got read_frames(Connection& connection);
     bool handle_result(Connection& connection, std::string_view rest);
+    // The outcome of a send whose result arrived. A value that cannot be kept counts as an error.
+    Outcome outcome_of(const SendKey& key, const parse::Result& result);
     // Handles a malformed frame: closes the connection.
     void handle_bad_frame(Connection& connection, std::string_view rest);
     void make_unusable(Connection& connection, std::string_view rest);
@@ -144,6 +154,9 @@
     void set_check_time(const SendKey& key, ActiveSend& sent, Time check_at);
     // Updates whether a connection counts as idle.
     void update_idle(Connection& connection);
+    void update_memory(Connection& connection);
+    // Closes the connection whose buffers hold most.
+    void close_largest();
     void close_longest_idle();
     void close(Connection& connection, Count reason);
     void finish_connection(Connection& connection);
@@ -153,6 +166,7 @@
     Dispatcher& dispatcher_;
     Counters& counters_;
     Log& log_;
+    MemoryBudget& memory_;
     const std::vector<std::string> report_fields_;
     const std::size_t parts_per_call_;
     const std::size_t streams_;
