A client's input is read to its end before a multiget begins, so a close is seen

Cause: behind an open request only the first bytes were read, so that a close that stood behind more than the system's buffers was not seen until they were read; the next request was begun from bytes that were already there, before anybody looked whether the connection had ended.

Change: before a multiget begins, its connection is read until nothing is left, a close is found, or 256 KB or the budget are reached. At a close nothing begins. Over the limit the request is answered 503 and was not begun. While a multiget is open its connection is read on; over the limit the requests behind it are read without being kept, and each is answered 503 in its turn.

Class: work for a peer that has left, since its leaving stands behind its bytes.

--- a/src/service/client_connection.hpp
+++ b/src/service/client_connection.hpp
@@ -25,9 +25,13 @@
 
     // What it holds now, as allocated, in bytes.
     std::size_t held_bytes() const {
-        return kFixedBytes + stream.buffer().capacity() + (request ? request->memory() : 0) + multiget_bytes +
-               output_bytes;
+        return kFixedBytes + stream.buffer().capacity() + (request ? request->memory() : 0) +
+               (skipped_request ? skipped_request->memory() : 0) + multiget_bytes + output_bytes;
     }
+    bool has_skipped_requests() const {
+        return skipped_request || skipped_requests > 0 || closes_after_skipped;
+    }
+
     const std::uint64_t number;  // unique in this process
     net::Stream stream;
     // kNew: no complete request yet; kIdle: between two requests; kReading: a request is partly read; kBusy:
@@ -42,7 +46,13 @@
     Time next_arrived_at = 0;
 
     std::unique_ptr<parse::HttpParser> request;  // the one being read or worked on
-    Ticket ticket = 0;                           // of the open multiget; 0: none
+    // Requests that came behind an open one and went over the budget are read and not kept: each is answered
+    // 503 after the open one.
+    std::unique_ptr<parse::HttpParser> skipped_request;  // the one that is partly read
+    std::uint64_t skipped_requests = 0;                  // complete ones without an answer yet
+    bool closes_after_skipped = false;  // the last of them was malformed or asked for a close
+
+    Ticket ticket = 0;  // of the open multiget; 0: none
     std::optional<MultigetResult> result;
     std::size_t multiget_bytes = 0;  // that the open multiget takes in this process, at most
     std::size_t output_bytes = 0;    // of the answer being written
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -35,6 +35,8 @@
 
 // Work of one connection in a turn: 0.2 ms.
 constexpr Time kShareOfWork = 2;
+// Bytes that are kept of requests behind a complete one.
+constexpr std::size_t kMaxAheadBytes = 256 * 1024;
 // The most that one read adds to what a connection holds: a buffer that doubles to the largest body.
 constexpr std::size_t kMaxGrowthBytes = 64 * 1024;
 // What each connection may hold, whatever the others do: enough for an ordinary request.
@@ -44,6 +46,7 @@
 // Allocated for an open multiget besides its query, and for each of its parts, at most, in bytes.
 constexpr std::size_t kMultigetBytes = 2048;
 constexpr std::size_t kPartBytes = 1024;
+constexpr int kSkippedAnswersPerWrite = 64;
 
 std::string format_seconds(Time time) {
     const auto rest = std::to_string(kSecond + time % kSecond).substr(1);
@@ -60,6 +63,10 @@
     return kMultigetBytes + 2 * multiget.query.capacity() + kPartBytes * multiget.parts.size();
 }
 
+bool is_multiget(const parse::HttpParser& request) {
+    return request.state() == State::kDone && request.method() == "POST";
+}
+
 }  // namespace
 
 ClientConnections::ClientConnections(net::Scheduler& scheduler, RequestHandler& handler, Counters& counters,
@@ -241,7 +248,7 @@
     auto& stream = connection.stream;
     auto& waiter = stream.waiter();
     for (bool open = true; open;) {
-        connection.request = std::make_unique<parse::HttpParser>(parse::HttpParser::Kind::kRequest);
+        const bool is_skipped = begin_request(connection);
         auto& request = *connection.request;
         Time arrived = 0;
         bool sent_continue = false;
@@ -287,16 +294,39 @@
         connection.phase = Phase::kBusy;
         const bool evicted = std::exchange(connection.eviction, Eviction::kNone) != Eviction::kNone;
         std::optional<Reply> reply;
-        if (evicted && request.state() != State::kDone) {
+        if (is_skipped && request.state() == State::kDone) {
+            reply = too_far_ahead();
+        } else if (evicted && request.state() != State::kDone) {
             reply = Reply{503, "", "no room\n", true};
+        } else if (is_multiget(request)) {
+            // A close may stand behind bytes that were not read yet.
+            auto ahead = ReadAhead::kMore;
+            while (ahead == ReadAhead::kMore) {
+                ahead = read_ahead(connection);
+                if (has_done_share(connection)) {
+                    co_await waiter.yield();
+                    begin_share(connection);
+                }
+            }
+            if (ahead == ReadAhead::kGone || waiter.may(net::kClosed)) {
+                counters_.add(Count::kRequestsOfGoneClients);
+                co_return;
+            }
+            if (ahead == ReadAhead::kFull) reply = too_far_ahead();
         }
         if (!reply) reply = handle_request(connection, arrived);
         while (!reply && !connection.result) {
-            note_pipelined_request(connection);
-            co_await waiter.wait(net::kClosed | (connection.next_arrived_at == 0 ? net::kRead : 0U));
+            if (waiter.may(net::kClosed)) co_return;
+            const auto ahead = read_ahead(connection);
+            if (ahead == ReadAhead::kGone) co_return;
+            if (ahead == ReadAhead::kFull || connection.skipped_request) skip_ahead(connection);
+            if (ahead == ReadAhead::kAll)
+                co_await waiter.wait(net::kClosed | net::kRead);
+            else if (has_done_share(connection))
+                co_await waiter.yield();
+            else
+                continue;
             begin_share(connection);
-            if (!waiter.may(net::kClosed) || connection.result) continue;
-            co_return;  // the client has closed the connection
         }
         if (!reply) reply = finish_multiget(connection);
 
@@ -324,7 +354,8 @@
                 co_await waiter.yield();
                 begin_share(connection);
             }
-            text.clear();
+            text = open ? answer_skipped(connection) : std::string();
+            open = open && !(connection.closes_after_skipped && connection.skipped_requests == 0);
         }
         connection.output_bytes = 0;
         connection.phase = Phase::kIdle;
@@ -348,6 +379,13 @@
     }
 }
 
+bool ClientConnections::begin_request(Connection& connection) {
+    const bool is_skipped = connection.skipped_request != nullptr;
+    connection.request = is_skipped ? std::move(connection.skipped_request)
+                                    : std::make_unique<parse::HttpParser>(parse::HttpParser::Kind::kRequest);
+    return is_skipped;
+}
+
 // The time of a pipelined request runs from its arrival, not from the end of the request before it. The time
 // limit of the first request runs from the connection's start, however slowly it arrives.
 void ClientConnections::note_first_bytes(Connection& connection, Time& arrived) {
@@ -361,11 +399,53 @@
     connection.phase_since = now;
 }
 
-void ClientConnections::note_pipelined_request(Connection& connection) {
-    if (connection.next_arrived_at != 0) return;
+ClientConnections::ReadAhead ClientConnections::read_ahead(Connection& connection) {
     auto& stream = connection.stream;
-    if (stream.buffer().empty() && stream.waiter().may(net::kRead)) stream.read();
-    if (!stream.buffer().empty()) connection.next_arrived_at = scheduler_.now();
+    const auto note_arrival = [&] {
+        if (!stream.buffer().empty() && connection.next_arrived_at == 0)
+            connection.next_arrived_at = scheduler_.now();
+    };
+    note_arrival();
+    if (!stream.waiter().may(net::kRead)) return ReadAhead::kAll;
+    if (stream.buffer().held().size() >= kMaxAheadBytes || !may_hold_more(connection))
+        return ReadAhead::kFull;
+    switch (stream.read()) {
+        case net::Stream::Got::kBytes: break;
+        case net::Stream::Got::kNothing: return ReadAhead::kAll;
+        case net::Stream::Got::kEnd:
+        case net::Stream::Got::kBroken: return ReadAhead::kGone;
+    }
+    note_arrival();
+    update_memory(connection);
+    return ReadAhead::kMore;
+}
+
+void ClientConnections::skip_ahead(Connection& connection) {
+    auto& buffer = connection.stream.buffer();
+    while (!buffer.empty() && !connection.closes_after_skipped) {
+        auto& request = connection.skipped_request;
+        if (!request) request = std::make_unique<parse::HttpParser>(parse::HttpParser::Kind::kRequest);
+        buffer.drop(request->feed(buffer.held()));
+        const bool is_bad = request->state() == State::kBad;
+        if (!is_bad && request->state() != State::kDone) break;
+        ++connection.skipped_requests;
+        connection.closes_after_skipped = is_bad || !request->keep_alive();
+        request.reset();
+    }
+    if (connection.closes_after_skipped) buffer.drop(buffer.held().size());
+    connection.next_arrived_at = 0;
+    update_memory(connection);
+}
+
+std::string ClientConnections::answer_skipped(Connection& connection) {
+    std::string text;
+    for (int count = 0; count < kSkippedAnswersPerWrite && connection.skipped_requests > 0; ++count) {
+        const auto reply = too_far_ahead();
+        const bool is_last = --connection.skipped_requests == 0;
+        text += parse::http_response(reply.status, reply.headers, reply.body,
+                                     is_last && connection.closes_after_skipped);
+    }
+    return text;
 }
 
 std::optional<ClientConnections::Reply> ClientConnections::handle_request(Connection& connection,
@@ -428,6 +508,12 @@
     return {status, "Content-Type: text/plain\r\n", reason + '\n', true};
 }
 
+ClientConnections::Reply ClientConnections::too_far_ahead() {
+    counters_.add(Count::kRequestsTooFarAhead);
+    log_.event(Level::kInfo, "request_refused", "a client sent too much ahead of its answers");
+    return {503, "", "too much was sent ahead of the answers\n"};
+}
+
 ClientConnections::Reply ClientConnections::make_reply(const MultigetResult& ending) {
     switch (ending.kind) {
         case MultigetResult::Kind::kPushedBack: return {503, retry_after_header(ending.wait), ""};
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -1,7 +1,8 @@
 // HTTP connections of clients: reads multigets, submits them and writes their answers.
 //
 // Each connection does a bounded share of work before the others have their turn. What it holds is paid from
-// a budget of memory; over it, the connections that held most for longest are closed.
+// a budget of memory; over it, the connections that held most for longest are closed. Before a multiget
+// begins, its connection's input is read to its end, so that a close behind it is seen in time.
 #pragma once
 
 #include <cstddef>
@@ -54,6 +55,8 @@
         bool close_after = false;  // the connection is closed after this reply
     };
     enum class Accepted { kAll, kShare, kNoCapacity };  // kShare: more may be pending
+    // kMore: bytes were read; kAll: no more have come; kFull: no more are kept; kGone: the client has closed.
+    enum class ReadAhead { kMore, kAll, kFull, kGone };
 
     net::Task accept_clients();
     net::Task run_connection(Connection& connection);
@@ -73,15 +76,22 @@
     void begin_share(Connection& connection);
     bool has_done_share(Connection& connection);
 
+    // Prepares for the next request; returns whether it is one that is skipped.
+    bool begin_request(Connection& connection);
     void note_first_bytes(Connection& connection, Time& arrived);
-    // Records the arrival time of a pipelined request.
-    void note_pipelined_request(Connection& connection);
+    // Reads what came behind a complete request, once.
+    ReadAhead read_ahead(Connection& connection);
+    // Reads the requests that were read ahead without keeping them.
+    void skip_ahead(Connection& connection);
+    // The answers to some of the requests that were skipped; empty if there are none left.
+    std::string answer_skipped(Connection& connection);
 
     // Returns nothing if the answer follows with the multiget's end.
     std::optional<Reply> handle_request(Connection& connection, Time arrived);
     std::optional<Reply> submit_multiget(Connection& connection, Time arrived);
     Reply finish_multiget(Connection& connection);
     Reply bad_request(int status, std::string reason);
+    Reply too_far_ahead();
     static Reply make_reply(const MultigetResult& ending);
 
     net::Scheduler& scheduler_;
--- a/src/service/counters.cpp
+++ b/src/service/counters.cpp
@@ -13,6 +13,8 @@
     "clients_gone",
     "bad_requests",
     "requests_without_memory",
+    "requests_too_far_ahead",
+    "requests_of_gone_clients",
     "clients_evicted",
     "clients_evicted_for_memory",
     "clients_yielded",
--- a/src/service/counters.hpp
+++ b/src/service/counters.hpp
@@ -20,6 +20,8 @@
     kClientsGone,
     kBadRequests,
     kRequestsWithoutMemory,
+    kRequestsTooFarAhead,
+    kRequestsOfGoneClients,
     kClientsEvicted,
     kClientsEvictedForMemory,
     kClientsYielded,
--- a/src/service/input_budgets.hpp
+++ b/src/service/input_budgets.hpp
@@ -56,9 +56,9 @@
         : clients(input_bytes(memory) / 2), servers(input_bytes(memory) / 16 * 3),
           values(input_bytes(memory) / 16 * 3) {}
 
-    MemoryBudget clients;  // connections of clients, their requests and unread answers
-    MemoryBudget servers;  // buffers of connections to index servers
-    MemoryBudget values;   // values of open requests
+    MemoryBudget clients;          // connections of clients, their requests and unread answers
+    MemoryBudget servers;          // buffers of connections to index servers
+    MemoryBudget values;           // values of open requests
 
 private:
     static constexpr std::size_t kProgramBytes = std::size_t{12} << 20U;  // with libraries and a server list
