A request that may have run is not run again under its X-Txn

Cause: a name was known only while its request was open or an attempt was out. After that it was new, though a part of it may have run.

Where the store writes the outcome of a recorded multiget while its client leaves, the parts that ran are told, too.

--- a/src/service/client_connection.hpp
+++ b/src/service/client_connection.hpp
@@ -53,6 +53,7 @@
     bool closes_after_skipped = false;  // the last of them was malformed or asked for a close
 
     Ticket ticket = 0;  // of the open multiget; 0: none
+    std::string multiget_name;
     std::optional<MultigetResult> result;
     std::size_t multiget_bytes = 0;  // that the open multiget takes in this process, at most
     std::size_t output_bytes = 0;    // of the answer being written
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -75,7 +75,7 @@
                                      std::function<bool()> is_ready)
     : scheduler_(scheduler), handler_(handler), counters_(counters), log_(log), memory_(memory),
       config_(std::move(config)), parser_(config_.vocabulary), print_counters_(std::move(print_counters)),
-      is_ready_(std::move(is_ready)) {}
+      is_ready_(std::move(is_ready)), names_(config_.max_names, config_.seed) {}
 
 void ClientConnections::start() {
     listener_ = net::listen_on(config_.listen);
@@ -179,7 +179,7 @@
 }
 
 void ClientConnections::remove(Connection& connection) {
-    if (connection.ticket != 0) handler_.leave(connection.ticket);
+    if (connection.ticket != 0) remember_name(connection, handler_.leave(connection.ticket));
     connection.ticket = 0;
     scheduler_.defer([this, at = &connection] {
         std::erase_if(connections_, [at](const auto& each) { return each.get() == at; });
@@ -472,12 +472,18 @@
     auto parsed = parser_.parse(*connection.request, arrived, answer_until_);
     if (const auto* fault = std::get_if<RequestFault>(&parsed)) return bad_request(400, fault->text);
     auto& multiget = std::get<MultigetRequest>(parsed);
+    if (names_.contains(scheduler_.now(), multiget.name)) {
+        counters_.add(Count::kNamesRepeated);
+        return bad_request(409, "a request of this X-Txn may have run");
+    }
     const auto bytes = bytes_of(multiget);
     if (!memory_.has_room(bytes)) {
         counters_.add(Count::kRequestsWithoutMemory);
         free_memory();
         return Reply{503, "", "no memory for this request\n"};
     }
+    multiget.tells_parts = true;
+    connection.multiget_name = multiget.name;
     const auto [acceptance, ticket] =
         handler_.ask(std::move(multiget), [at = &connection](MultigetResult ending) {
             at->result = std::move(ending);
@@ -497,11 +503,19 @@
 
 ClientConnections::Reply ClientConnections::finish_multiget(Connection& connection) {
     const auto result = *std::exchange(connection.result, std::nullopt);
+    remember_name(connection, result.parts);
     connection.ticket = 0;
     connection.multiget_bytes = 0;
     return make_reply(result);
 }
 
+void ClientConnections::remember_name(const Connection& connection, const store::PartOutcomes& parts) {
+    const bool may_have_run = std::any_of(parts.begin(), parts.end(), [](const auto& part) {
+        return part.second != store::PartOutcome::kNeverSent;
+    });
+    if (may_have_run) names_.add(scheduler_.now(), connection.multiget_name, connection.number);
+}
+
 ClientConnections::Reply ClientConnections::bad_request(int status, std::string reason) {
     counters_.add(Count::kBadRequests);
     log_.event(Level::kInfo, "bad_request", "bad request: " + reason);
@@ -538,6 +552,8 @@
     append_line(out, "client_memory_bytes", memory_.used());
     append_line(out, "client_memory_bytes_most", memory_.most_used());
     append_line(out, "client_memory_bytes_limit", memory_.limit());
+    append_line(out, "names_remembered", names_.size());
+    append_line(out, "names_forgotten_early", names_.forgotten_early());
     return out;
 }
 
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -20,6 +20,7 @@
 #include "service/input_budgets.hpp"
 #include "service/log.hpp"
 #include "service/multiget_parser.hpp"
+#include "service/recent_names.hpp"
 #include "service/request_handler.hpp"
 
 namespace pinedoor::service {
@@ -30,6 +31,8 @@
     Time write_timeout = 0;       // time limit for writing an answer
     Time first_request_time = 0;  // time in which the first request usually arrives on a new connection
     std::size_t max_connections = 0;
+    std::size_t max_names = 0;  // names of requests that may have run
+    std::uint64_t seed = 0;
 };
 
 // HTTP/1.1 server for multigets, `GET /up` and `GET /counters`.
@@ -90,6 +93,7 @@
     std::optional<Reply> handle_request(Connection& connection, Time arrived);
     std::optional<Reply> submit_multiget(Connection& connection, Time arrived);
     Reply finish_multiget(Connection& connection);
+    void remember_name(const Connection& connection, const store::PartOutcomes& parts);
     Reply bad_request(int status, std::string reason);
     Reply too_far_ahead();
     static Reply make_reply(const MultigetResult& ending);
@@ -103,6 +107,7 @@
     const MultigetParser parser_;
     const std::function<std::string()> print_counters_;
     const std::function<bool()> is_ready_;
+    RecentNames names_;
     bool stopping_ = false;
     bool accepting_ = false;
     Time accept_until_ = net::kNever;
--- a/src/service/counters.cpp
+++ b/src/service/counters.cpp
@@ -12,6 +12,7 @@
     "multigets_failed",
     "clients_gone",
     "bad_requests",
+    "names_repeated",
     "requests_without_memory",
     "requests_too_far_ahead",
     "requests_of_gone_clients",
--- a/src/service/counters.hpp
+++ b/src/service/counters.hpp
@@ -19,6 +19,7 @@
     kFailed,
     kClientsGone,
     kBadRequests,
+    kNamesRepeated,
     kRequestsWithoutMemory,
     kRequestsTooFarAhead,
     kRequestsOfGoneClients,
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -80,6 +80,8 @@
     config.write_timeout = longest_timeout(settings);
     config.first_request_time = settings.send_config().connect_timeout;
     config.max_connections = max_clients(budgets, descriptors);
+    config.max_names = budgets.name_bytes / RecentNames::kBytesPerName;
+    config.seed = launch.seed();
     return config;
 }
 
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -205,7 +205,8 @@
     if (at == multigets_.end()) return {};
     auto& multiget = at->second;
     multiget.on_ended = nullptr;
-    if (multiget.inner_ticket == 0) return {};  // its intent or its outcome is being written
+    // Its intent is being written, and nothing was sent; or its outcome is, and what ran is known.
+    if (multiget.inner_ticket == 0) return multiget.ending.parts;
     const auto parts = inner_.leave(std::exchange(multiget.inner_ticket, 0));
     const auto finished = std::move(multiget);
     multigets_.erase(at);
