Unfinished states on the peers' port stay within 8 MB together

Change: the connection whose bytes would take them over 8 MB together is closed (counter peers_exchanges_over_memory).

The bound on a follower has no test of its own.

--- a/src/peers/carrier.cpp
+++ b/src/peers/carrier.cpp
@@ -23,6 +23,8 @@
 constexpr net::Moment kConflictLogInterval = 100'000;
 constexpr std::size_t kMaxConnections = 128;
 constexpr std::size_t kMaxCommandBytes = 256;
+// Received bytes that wait for the rest of their message, on all connections together.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{8} << 20U;
 constexpr std::size_t kMaxSeeds = 64;
 constexpr std::size_t kLengthPrefixBytes = 4;  // precedes an encoded state, little-endian
 
@@ -296,6 +298,12 @@
     }
 }
 
+bool PeerTransport::is_over_memory() const {
+    std::size_t sum = 0;
+    for (const auto& connection : connections_) sum += connection->stream.buffer().capacity();
+    return sum > kMaxBufferedBytes;
+}
+
 bool PeerTransport::receive_state(std::string_view bytes, const std::string& from) {
     auto decoded = codec_.decode_state(bytes);
     if (const auto* reason = std::get_if<RejectReason>(&decoded)) return reject(*reason, from), false;
@@ -350,6 +358,9 @@
             } else if (got == net::Stream::Got::kEnd || got == net::Stream::Got::kBroken ||
                        body_size > kMaxStateBytes) {
                 co_return;
+            } else if (is_over_memory()) {
+                ++counts_.over_memory;
+                co_return;
             }
         }
         if (!response.empty() && waiter.may(net::kWrite)) {
@@ -442,6 +453,7 @@
     add("refused", counts_.rejected);
     add("exchanges", counts_.syncs);
     add("exchanges_failed", counts_.syncs_failed);
+    add("exchanges_over_memory", counts_.over_memory);
     const auto& gossip = gossip_.counts();
     add("facts", gossip_.size());
     add("facts_newer", gossip.newer);
--- a/src/peers/carrier.hpp
+++ b/src/peers/carrier.hpp
@@ -61,7 +61,7 @@
     };
     struct Counts {
         std::uint64_t datagrams_in = 0, datagrams_out = 0, bytes_in = 0, bytes_out = 0, send_failures = 0,
-                      rejected = 0, syncs = 0, syncs_failed = 0;
+                      rejected = 0, syncs = 0, syncs_failed = 0, over_memory = 0;
     };
 
     net::Task receive_datagrams();
@@ -73,6 +73,8 @@
     net::Task serve_control(Connection& connection);
     void start_connection(net::Fd fd, net::Task (PeerTransport::*serve)(Connection&));
     void end_connection(Connection& connection);
+    // Whether the connections hold more unread bytes together than they may.
+    bool is_over_memory() const;
     void execute_all(std::vector<Action> actions);
     void execute_all(std::vector<SendGossip> messages);
     void deliver(const DirectMessage& message);
--- a/src/service/list_share.cpp
+++ b/src/service/list_share.cpp
@@ -242,7 +242,8 @@
 
 void ServerListRelay::broadcast(const std::string& text) {
     for (auto& follower : followers_) {
-        follower.pending += chunk(text);
+        follower.closing |= follower.pending.size() > kMaxPendingBytes;
+        if (!follower.closing) follower.pending += chunk(text);
         follower.stream->waiter().signal();
     }
 }
--- a/tests/input_budget_test.cpp
+++ b/tests/input_budget_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 using namespace pinedoor::test;
+namespace net = pinedoor::net;
 using std::chrono::milliseconds;
 
 // Sanitizers keep freed memory and shadow memory of their own, so the process is judged by its gauges alone.
@@ -72,6 +73,25 @@
     check_crowd(limits, unfinished_body(64'000));
 }
 
+// The same on the peers' port: states of members that never come whole.
+TEST_CASE("unfinished states of front nodes stay within the memory limit") {
+    Listener server;
+    Listener discovery;
+    const pinedoor::lab::HeldPort peers;
+    FrontNodeProcess program({{"s-1", server.at()}}, discovery.at());
+    program.with("\"memory_mb\":192", "\"memory_mb\":48")
+        .with_settings("[peers]\non = true\nlisten = \"" + net::to_text(peers.at()) + "\"\n");
+    program.start().client();
+    std::string state("\xff\xff\x0f\x00", 4);  // a length of almost 1 MB
+    state += std::string(900'000, 's');
+    const Crowd crowd(peers.at(), 100, state);
+    usleep(200'000);
+    CHECK(program.counter("peers_exchanges_over_memory") > 0);
+    if (kMeasuresProcess) CHECK(peak_memory_bytes(program.process()) <= std::size_t{48} << 20U);
+    program.kill(SIGTERM);
+    CHECK(program.wait() == 0);
+}
+
 // Case (b): one connection at full speed kept the event loop, and others got their answers late or never.
 void check_flood(int flooders, const std::function<std::string(std::uint64_t)>& next_request) {
     LimitedNode node({});
