--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 
 #include "lab/commands.hpp"
+#include "lab/soak/soak_command.hpp"
 #include "stated/stated.hpp"
 
 namespace {
@@ -135,10 +136,28 @@
             }
             code_ = pinedoor::lab::fleet(world, program(), connections_, run_.log);
         });
+        add_soak(app);
         auto* judge = app.add_subcommand("judge", "Check the six rules against a log file");
         judge->add_option("log", path_, "The log of a run")->required();
         judge->callback([this] { code_ = judge_log(path_); });
     }
+    void add_soak(CLI::App& app) {
+        auto* soak = app.add_subcommand(
+            "soak", "Run a front node beside ordinary and abusive clients, with signals, and judge each run");
+        soak->add_option("--seed", soak_.seed, "Seed of the first run")->capture_default_str();
+        soak->add_option("--seeds", soak_.seeds, "Number of runs, with consecutive seeds")
+            ->capture_default_str()
+            ->check(CLI::Range(1, 100'000));
+        soak->add_option("--seconds", soak_.seconds, "Length of a run")
+            ->capture_default_str()
+            ->check(CLI::Range(8, 3'600));
+        soak->add_option("--program", program_, "Path of pinedoor; default: beside this program");
+        soak->add_option("--log", soak_.log, "Write the observations of the last run to this file");
+        soak->callback([this] { code_ = pinedoor::lab::soak(soak_, program()); });
+        auto* judge = app.add_subcommand("soak-judge", "Judge the observations of a soak run");
+        judge->add_option("log", path_, "The file")->required();
+        judge->callback([this] { code_ = judge_soak(path_); });
+    }
     void add_compare(CLI::App& app) {
         auto* compare = app.add_subcommand("compare", "Run worlds under several variants, on the same seeds");
         compare->add_option("worlds", compare_.worlds, "Worlds' TOML")->required();
@@ -259,6 +278,7 @@
     CompareOptions compare_;
     HuntOptions hunt_;
     FleetHuntOptions fleet_hunt_;
+    SoakOptions soak_;
 };
 
 }  // namespace
