GET /counters does not fail where no descriptor is free

The folder of descriptors is read for a gauge. Without a free descriptor that threw: the client's connection ended without an answer, and a print of the counters at the end would have ended the program with an error. The gauge shows 0 then.

--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <iterator>
 #include <stdexcept>
+#include <system_error>
 
 #include "store/make_backend.hpp"
 
@@ -293,8 +294,10 @@
     if (list_relay_) out += list_relay_->print_gauges();
     if (fleet_reporter_) out += fleet_reporter_->print_gauges();
     if (limiter_) out += limiter_->print_gauges();
-    const std::filesystem::directory_iterator descriptors("/proc/self/fd"), end;
-    append_line(out, "descriptors_open", static_cast<std::uint64_t>(std::distance(descriptors, end)) - 1);
+    std::error_code ignored;  // without a free descriptor the folder cannot be read
+    const std::filesystem::directory_iterator descriptors("/proc/self/fd", ignored), end;
+    append_line(out, "descriptors_open",
+                static_cast<std::uint64_t>(std::max<std::ptrdiff_t>(1, std::distance(descriptors, end))) - 1);
     append_line(out, "longest_turn_us", static_cast<std::uint64_t>(scheduler_.longest_round()) * 100);
     return out;
 }
