After a suspension, input that came meanwhile goes before overdue timers

Cause: a stop that falls between the return of a poll and the look at the timers, or that ends the poll with EINTR, lets timers that fell due meanwhile act on what was known before the stop: the input that came is polled in the next round only.

Change: before timers that are due, the event loop polls once more without waiting. A stop may still fall between that poll and a timer's action, some instructions wide, as no order of calls rules out.

--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -115,6 +115,8 @@
         if (!ready_.empty() || !yielded_.empty() || !deferred_.empty()) next = 0;
         poll(next);
         const Moment round_start = now();
+        // The process may have been suspended since: what arrived meanwhile goes before the timers.
+        if (!timers_.empty() && timers_.begin()->first <= round_start) poll(0);
         while (!timers_.empty() && timers_.begin()->first <= round_start) {
             auto* waiter = timers_.begin()->second;
             timers_.erase(timers_.begin());
--- a/tests/input_budget_test.cpp
+++ b/tests/input_budget_test.cpp
@@ -168,6 +168,25 @@
     CHECK(program.counter("sends") == 1);
 }
 
+// Timers that fell due while the process stood still went before input that had come meanwhile.
+TEST_CASE("after a suspension a client's close is seen before the timers of its request") {
+    Listener first, second, discovery;
+    FrontNodeProcess program({{"s-1", first.at()}, {"s-2", second.at()}}, discovery.at());
+    program.with("\"max_attempts\":1", "\"max_attempts\":3")
+        .with("\"stop_sending_within_ms\":250.0",
+              "\"stop_sending_within_ms\":250.0,\"extra_floor\":20.0,\"repeat_ratio\":0.5,"
+              "\"look_back_ms\":10000.0");
+    auto client = program.start().client();
+    client.say(post("again", "t", asks({1})));
+    REQUIRE(program.wait_for_counter("calls", 1) == 1);
+    program.kill(SIGSTOP);
+    client = Peer{};
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    program.kill(SIGCONT);
+    CHECK(program.wait_for_counter("clients_gone", 1) == 1);
+    CHECK(program.counter("sends") == 1);
+}
+
 TEST_CASE("an id that may have run does not run again after its client has left") {
     Listener server;
     Listener discovery;
