--- a/src/lab/soak/soak_servers.cpp
+++ b/src/lab/soak/soak_servers.cpp
@@ -107,7 +107,10 @@
     auto frame = parse::begin_frame('R');
     frame += part + ' ' + end + " 7 util=0.5\n" + std::string(big ? kBigValueBytes : 5, 'v');
     parse::end_frame(frame);
-    const auto delay = static_cast<net::Moment>(20 + chance_.below(200));
+    // Some parts take long: their clients may leave meanwhile.
+    const bool slow = draw >= 30 && draw < 80;
+    const auto delay =
+        static_cast<net::Moment>(slow ? 1'500 + chance_.below(2'500) : 20 + chance_.below(200));
     timers_.run_at(scheduler_.now() + delay, [this, link, frame] { send(link, frame); });
 }
 
