A shutdown takes the clients that wait for a free connection

Cause: 0.45 s after SIGTERM the listener was closed after one more look at it. At the limit of connections that look accepts nobody, and closing the listener resets what waits behind it. The system had accepted these connections, so the requests on them had been taken.

Measured: the new test, eight busy clients and one that waits, fails before (its request is never sent) and passes now.

--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -115,9 +115,13 @@
                 break;
         }
     }
-    while (accept_pending() == Accepted::kShare) {
-        waiter_->signal();
-        co_await waiter_->wait(0);
+    // What still waits has been accepted by the system, and is answered: it is taken as soon as there is
+    // room.
+    const Time drained_by = accept_until_ + kAcceptAfterStop;
+    for (auto accepted = accept_pending(); accepted != Accepted::kAll && scheduler_.now() < drained_by;
+         accepted = accept_pending()) {
+        if (accepted == Accepted::kShare) waiter_->signal();
+        co_await waiter_->wait(0, std::min(drained_by, scheduler_.now() + kMemoryRetryDelay));
     }
     waiter_.reset();
     listener_ = net::Fd{};
--- a/tests/input_budget_test.cpp
+++ b/tests/input_budget_test.cpp
@@ -92,6 +92,36 @@
     CHECK(program.wait() == 0);
 }
 
+// The listener was closed with what waited behind a full table of connections.
+TEST_CASE("a shutdown answers a client that waits for a free connection") {
+    Listener server;
+    Listener discovery;
+    FrontNodeProcess program({{"s-1", server.at()}}, discovery.at());
+    program.with("\"sockets\":1024", "\"sockets\":32")
+        .with("\"streams_per_conn\":4", "\"streams_per_conn\":64");
+    program.start();
+    std::vector<Peer> busy;
+    Peer connection;
+    for (int i = 0; i < 8; ++i) {  // all that there may be
+        busy.push_back(program.client());
+        busy.back().say(post("once", "t" + std::to_string(i), asks({1})));
+        if (i == 0) connection = server.accept();
+        REQUIRE(connection.frame() == "St" + std::to_string(i) + ".1 1 1\nq");
+    }
+    program.kill(SIGTERM);
+    Peer waiting(program.at());
+    REQUIRE(waiting.connected());
+    waiting.say(post("once", "last", asks({1})));
+    usleep(600'000);  // longer than new connections are expected
+    for (int i = 0; i < 8; ++i) connection.reply("t" + std::to_string(i) + ".1", "done", "x");
+    for (auto& client : busy) CHECK(client.answer().starts_with("200 "));
+    busy.clear();
+    CHECK(connection.frame() == "Slast.1 1 1\nq");
+    connection.reply("last.1", "done", "y");
+    CHECK(waiting.answer().starts_with("200 "));
+    CHECK(program.wait() == 0);
+}
+
 // Case (b): one connection at full speed kept the event loop, and others got their answers late or never.
 void check_flood(int flooders, const std::function<std::string(std::uint64_t)>& next_request) {
     LimitedNode node({});
