--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <numeric>
+#include <thread>
 
 #include "net/scheduler.hpp"
 #include "stand_ins.hpp"
@@ -164,6 +165,24 @@
     CHECK(setup.client.answer() == R"(200 {"whole":true,"results":[{"partition":2,"value":"two"}]})");
 }
 
+// A front node that was held up within a round went on to overdue timers before it read what had come.
+TEST_CASE("a client that leaves while the front node is held up within a round is sent no further attempt") {
+    PausableProgram setup;
+    setup.program.with("\"max_attempts\":1", "\"max_attempts\":3")
+        .with("\"stop_sending_within_ms\":250.0",
+              "\"stop_sending_within_ms\":250.0,\"extra_floor\":20.0,\"repeat_ratio\":0.5,"
+              "\"look_back_ms\":10000.0");
+    setup.serve_one("t1");
+    setup.create_file("pause-call");
+    setup.client.say(post("again", "t2", asks({2})));
+    setup.wait_for_file("paused");
+    setup.client = Peer{};
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    setup.create_file("go");
+    CHECK(setup.program.wait_for_counter("clients_gone", 1) == 1);
+    CHECK(setup.program.counter("sends") == 2);
+}
+
 // A partly written frame must not be completed when its server reads on later: the client may have left by
 // then, and the remaining time in the frame is wrong.
 TEST_CASE("a frame that its server does not read is withdrawn by closing the connection") {
@@ -306,6 +325,27 @@
     CHECK(setup.program.counter("calls") == FullConnectionsSetup::kStreams / 2 + 1);
 }
 
+// Nothing may begin for a client that has left: here the front node is held up, a stream becomes free first.
+TEST_CASE("a send that waits for a free stream is not written when its client leaves during a hold-up") {
+    auto folder = scratch() + "/pinedoor-pause-XXXXXX";
+    folder = mkdtemp(folder.data());
+    FullConnectionsSetup setup;
+    setup.program.run_program(PINEDOOR_FAULTY).with_environment("PINEDOOR_PAUSE", folder);
+    setup.fill();
+    std::ofstream(folder + "/pause");
+    setup.answer(setup.out.front());
+    for (int tries = 0; tries < kWaitTimeoutSeconds * 1'000; ++tries) {
+        if (std::filesystem::exists(folder + "/paused")) break;
+        usleep(1'000);
+    }
+    setup.client = Peer{};
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    std::ofstream(folder + "/go");
+    CHECK(setup.program.wait_for_counter("clients_gone", 1) == 1);
+    CHECK(setup.program.counter("calls") == FullConnectionsSetup::kStreams / 2);
+    std::filesystem::remove_all(folder);
+}
+
 // With many servers, idle connections must not take up the whole limit and keep sends to other servers from
 // getting a connection.
 TEST_CASE("an idle connection is closed for one to a server that has none") {
--- a/tests/stand_ins/faulty_calls.cpp
+++ b/tests/stand_ins/faulty_calls.cpp
@@ -9,7 +9,8 @@
 //
 // PINEDOOR_PAUSE names a folder. If it holds a file `pause`, the next wait that returns events creates
 // `paused` there and continues once a file `go` exists: what a test does in between happens after the wait
-// returned and before the program handles its events.
+// returned and before the program handles its events. With `pause-call` the next write of a call to an index
+// server pauses, before its first byte is written.
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -77,14 +78,20 @@
     return fd;
 }
 
-void pause_if_requested() {
+void pause_if_requested(const std::string& request) {
     static const char* const kFolder = std::getenv("PINEDOOR_PAUSE");
     if (kFolder == nullptr) return;
     const std::string folder = kFolder;
-    if (!exists(folder + "/pause")) return;
+    if (!exists(folder + request)) return;
     close(open((folder + "/paused").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600));
     while (!exists(folder + "/go")) usleep(1'000);
-    unlink((folder + "/pause").c_str());
+    unlink((folder + request).c_str());
+}
+
+// A call's frame has its letter behind the four bytes of its length.
+bool is_call(const void* from, std::size_t size) {
+    constexpr std::size_t kLetterAt = 4;
+    return size > kLetterAt && static_cast<const char*>(from)[kLetterAt] == 'S';
 }
 
 }  // namespace
@@ -138,6 +145,7 @@
         errno = EAGAIN;
         return -1;
     }
+    if (is_call(from, size)) pause_if_requested("/pause-call");
     if (is_faulty_call("transmit")) {
         if (is_stall()) {
             stalled().insert(fd);
@@ -160,7 +168,7 @@
 int wait_on_epoll(int epoll, epoll_event* events, int max_events, const timespec* timeout) {
     if (inject_errno("wait")) return -1;
     const int count = ::epoll_pwait2(epoll, events, max_events, timeout, nullptr);
-    if (count > 0) pause_if_requested();
+    if (count > 0) pause_if_requested("/pause");
     return count;
 }
 
