A round's time stands still: no deadline passes before the input that came until then is read

Cause: the clock was read wherever a deadline was compared. A process suspended between two such places went on to overdue timers with its input unread; only a stop in the poll itself had been mended. Change: Scheduler::now() is the time of the round, taken after its poll; a poll that took 20 ms or more is repeated; closes go before other input, input before signals, timers last. Work and what is told to servers, leases and the log go by clock(). A turn of the decision module, and a queued call, wait for the next round if theirs began over 20 ms ago.

--- a/src/lab/fleet/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -233,7 +233,7 @@
         auto text = list_text(1, true, all);
         if (config_.fleet.known_age < 0) return text;
         text.insert(text.size() - 1, ",\"saved_unix_ms\":" +
-                                         std::to_string((scheduler_.now() - config_.fleet.known_age) / 10));
+                                         std::to_string((scheduler_.clock() - config_.fleet.known_age) / 10));
         return text;
     }
 
--- a/src/lab/live/agenda.hpp
+++ b/src/lab/live/agenda.hpp
@@ -18,7 +18,7 @@
             if (failure) scheduler_.defer([failure] { std::rethrow_exception(failure); });
         });
     }
-    net::Moment now() const { return scheduler_.now(); }
+    net::Moment now() const { return scheduler_.clock(); }
     void run_at(net::Moment when, std::function<void()> callback) {
         const bool first = queue_.empty() || when < queue_.begin()->first;
         queue_.emplace(when, std::move(callback));
--- a/src/lab/live/live_server.cpp
+++ b/src/lab/live/live_server.cpp
@@ -85,7 +85,7 @@
         }
         if (error == EAGAIN) listener.waiter.used_up(net::kRead);
         co_await listener.waiter.wait(error == EAGAIN ? unsigned{net::kRead} : 0U,
-                                      error == EAGAIN ? net::kNever : scheduler_.now() + kPause);
+                                      error == EAGAIN ? net::kNever : scheduler_.clock() + kPause);
     }
 }
 
--- a/src/lab/soak/soak_clients.cpp
+++ b/src/lab/soak/soak_clients.cpp
@@ -46,7 +46,7 @@
     auto& stream = client.stream;
     for (int count = 0; log_.now() < until;) {
         co_await client.pause.wait(
-            0, scheduler_.now() + 10 + static_cast<net::Moment>(chance_.below(2 * kMeanPause)));
+            0, scheduler_.clock() + 10 + static_cast<net::Moment>(chance_.below(2 * kMeanPause)));
         if (!stream && !node_.takes_new_clients) continue;
         const auto id = 'o' + std::to_string(number) + '-' + std::to_string(++count);
         const bool once = chance_.below(3) == 0;
@@ -61,8 +61,8 @@
                 auto fd = net::connect_to(at_).first;
                 if (fd) stream.emplace(scheduler_, std::move(fd));
                 client.was_answered = false;
-                const auto connect_until = scheduler_.now() + kConnectTimeout;
-                while (stream && !stream->waiter().may(net::kWrite) && scheduler_.now() < connect_until)
+                const auto connect_until = scheduler_.clock() + kConnectTimeout;
+                while (stream && !stream->waiter().may(net::kWrite) && scheduler_.clock() < connect_until)
                     co_await stream->waiter().wait(net::kWrite, connect_until);
                 if (stream && (!stream->waiter().may(net::kWrite) || net::socket_error(stream->fd()) != 0))
                     stream.reset();
@@ -76,7 +76,7 @@
                 co_await stream->waiter().wait(net::kWrite);
                 written += stream->write(std::string_view(text).substr(written));
             }
-            const auto asked_at = scheduler_.now();
+            const auto asked_at = scheduler_.clock();
             if (!asked)
                 log_.write("ask " + id + " wait " + std::to_string(kWait) + (once ? " once" : " safe"));
             asked = true;
@@ -86,7 +86,7 @@
             using State = parse::HttpParser::State;
             bool ended = false;
             while (!ended && answer.state() != State::kDone && answer.state() != State::kBad) {
-                if (scheduler_.now() >= std::min(leave_at, asked_at + kGiveUpAfter)) break;
+                if (scheduler_.clock() >= std::min(leave_at, asked_at + kGiveUpAfter)) break;
                 co_await stream->waiter().wait(net::kRead, std::min(leave_at, asked_at + kGiveUpAfter));
                 if (!stream->waiter().may(net::kRead)) continue;
                 const auto got = stream->read();
@@ -102,7 +102,7 @@
                 stream.reset();
                 if (!again) log_.write("cut " + id);
             } else {
-                const bool left = scheduler_.now() >= leave_at;
+                const bool left = scheduler_.clock() >= leave_at;
                 stream.reset();
                 log_.write(left ? "left " + id : "end " + id + " 0");
             }
--- a/src/lab/soak/soak_log.hpp
+++ b/src/lab/soak/soak_log.hpp
@@ -14,9 +14,9 @@
 class SoakLog {
 public:
     SoakLog(const net::Scheduler& scheduler, std::function<void(const std::string&)> sink)
-        : scheduler_(scheduler), start_(scheduler.now()), sink_(std::move(sink)) {}
+        : scheduler_(scheduler), start_(scheduler.clock()), sink_(std::move(sink)) {}
 
-    SoakMs now() const { return (scheduler_.now() - start_) / 10; }
+    SoakMs now() const { return (scheduler_.clock() - start_) / 10; }
     net::Moment moment_of(SoakMs time) const { return start_ + time * 10; }
     void write(const std::string& entry) {
         const std::lock_guard lock(mutex_);
--- a/src/lab/soak/soak_servers.cpp
+++ b/src/lab/soak/soak_servers.cpp
@@ -37,7 +37,7 @@
         auto [fd, error] = net::accept_from(listener_);
         if (!fd) {
             waiter_.used_up(net::kRead);
-            co_await waiter_.wait(net::kRead, scheduler_.now() + 1'000);
+            co_await waiter_.wait(net::kRead, scheduler_.clock() + 1'000);
             continue;
         }
         const auto id = ++last_link_;
@@ -111,7 +111,7 @@
     const bool slow = draw >= 30 && draw < 80;
     const auto delay =
         static_cast<net::Moment>(slow ? 1'500 + chance_.below(2'500) : 20 + chance_.below(200));
-    timers_.run_at(scheduler_.now() + delay, [this, link, frame] { send(link, frame); });
+    timers_.run_at(scheduler_.clock() + delay, [this, link, frame] { send(link, frame); });
 }
 
 bool SoakDiscovery::receive(std::uint64_t id, Link& link) {
@@ -131,7 +131,7 @@
 
 void SoakDiscovery::send_heartbeats(std::uint64_t link, int count) {
     if (count == 0) return;
-    timers_.run_at(scheduler_.now() + kHeartbeatInterval, [this, link, count] {
+    timers_.run_at(scheduler_.clock() + kHeartbeatInterval, [this, link, count] {
         send(link, chunk("\n"));
         send_heartbeats(link, count - 1);
     });
--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -16,6 +16,7 @@
 constexpr std::int64_t kNanosecondsPerTick = 100'000;
 // Time in each round for coroutines that yielded, 1 ms; the first of them is resumed in any case.
 constexpr Moment kYieldedShare = 10;
+constexpr std::size_t kEventsPerPoll = 256;
 
 std::int64_t steady_clock_nanos() {
     return std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -72,10 +73,14 @@
     check();
 }
 
-void Waiter::check() {
+void Waiter::check(bool goes_first) {
     if (waiting_ == nullptr || queued_ || !due(waiting_->interest_)) return;
     queued_ = true;
-    scheduler_.ready_.emplace_back(slot_, scheduler_.slots_[slot_].generation);
+    const std::pair entry{slot_, scheduler_.slots_[slot_].generation};
+    if (goes_first)
+        scheduler_.ready_.push_front(entry);
+    else
+        scheduler_.ready_.push_back(entry);
 }
 
 void Waiter::Wait::await_suspend(std::coroutine_handle<> handle) {
@@ -105,36 +110,52 @@
 
 Moment wall_clock() { return wall_clock_ticks(); }
 
-Moment Scheduler::now() const {
+Moment Scheduler::clock() const {
     return wall_at_start_ + (steady_clock_nanos() - steady_at_start_) / kNanosecondsPerTick;
 }
 
 void Scheduler::run(const std::function<bool()>& until) {
     while (!until()) {
-        Moment next = timers_.empty() ? kNever : timers_.begin()->first;
-        if (!ready_.empty() || !yielded_.empty() || !deferred_.empty()) next = 0;
-        poll(next);
-        const Moment round_start = now();
-        // The process may have been suspended since: what arrived meanwhile goes before the timers.
-        if (!timers_.empty() && timers_.begin()->first <= round_start) poll(0);
-        while (!timers_.empty() && timers_.begin()->first <= round_start) {
-            auto* waiter = timers_.begin()->second;
-            timers_.erase(timers_.begin());
-            waiter->signal();
-        }
+        begin_round();
+        signal_due_timers();
         resume_ready();
         resume_yielded();
         run_deferred();
-        longest_round_ = std::max(longest_round_, now() - round_start);
+        longest_round_ = std::max(longest_round_, clock() - round_time_);
+    }
+    round_time_ = kNever;
+}
+
+void Scheduler::begin_round() {
+    Moment next = timers_.empty() ? kNever : timers_.begin()->first;
+    if (!ready_.empty() || !yielded_.empty() || !deferred_.empty()) next = 0;
+    signalled_.swap(ready_);
+    Moment polled_at = 0;
+    do {
+        polled_at = clock();
+        fetch_events(next);
+        round_time_ = clock();
+        next = 0;
+    } while (round_time_ - polled_at >= kHeldUp);  // a long wait and a suspension after it look alike
+    const bool is_timer_due = !timers_.empty() && timers_.begin()->first <= round_time_;
+    if (is_timer_due && timers_.begin()->first > polled_at) fetch_events(0);
+    ready_.insert(ready_.end(), signalled_.begin(), signalled_.end());
+    signalled_.clear();
+}
+
+void Scheduler::fetch_events(Moment until) {
+    for (auto polls = slots_.size() / kEventsPerPoll + 1; polls > 0; --polls) {
+        if (poll(until) < kEventsPerPoll) return;
+        until = 0;
     }
 }
 
-void Scheduler::poll(Moment until) {
-    std::array<epoll_event, 256> events{};
+std::size_t Scheduler::poll(Moment until) {
+    std::array<epoll_event, kEventsPerPoll> events{};
     timespec timeout{};
     timespec* limit = nullptr;
     if (until != kNever) {
-        const auto nanos = std::max<std::int64_t>(0, until - now()) * kNanosecondsPerTick;
+        const auto nanos = std::max<std::int64_t>(0, until - clock()) * kNanosecondsPerTick;
         timeout = {nanos / 1'000'000'000, nanos % 1'000'000'000};
         limit = &timeout;
     }
@@ -146,10 +167,20 @@
         const auto& slot = slots_[event.data.u64 & 0xffff'ffffU];
         // Ignores an event that was fetched for a waiter that has been destroyed since.
         if (slot.waiter == nullptr || slot.generation != event.data.u64 >> 32U) continue;
-        if ((event.events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) slot.waiter->state_ |= kRead;
+        const bool is_closed = (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+        if (is_closed || (event.events & EPOLLIN) != 0) slot.waiter->state_ |= kRead;
         if ((event.events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0) slot.waiter->state_ |= kWrite;
-        if ((event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) slot.waiter->state_ |= kClosed;
-        slot.waiter->check();
+        if (is_closed) slot.waiter->state_ |= kClosed;
+        slot.waiter->check(is_closed);
+    }
+    return static_cast<std::size_t>(std::max(0, count));
+}
+
+void Scheduler::signal_due_timers() {
+    while (!timers_.empty() && timers_.begin()->first <= round_time_) {
+        auto* waiter = timers_.begin()->second;
+        timers_.erase(timers_.begin());
+        waiter->signal();
     }
 }
 
@@ -160,10 +191,10 @@
 
 void Scheduler::resume_yielded() {
     if (yielded_.empty()) return;
-    const Moment share_ends = now() + kYieldedShare;
+    const Moment share_ends = clock() + kYieldedShare;
     for (auto remaining = yielded_.size(); remaining > 0; --remaining) {
         resume_first(yielded_);
-        if (now() >= share_ends) return;
+        if (clock() >= share_ends) return;
     }
 }
 
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -12,6 +12,10 @@
 // been reused. A coroutine that waits on a destroyed waiter stays suspended until its Task is destroyed. A
 // scheduler must outlive its waiters. An object that has to be destroyed while its own code is on the stack
 // is destroyed through defer(), at the end of the round.
+//
+// Time: now() stands still during a round, so that no deadline passes before the input that came until then
+// has been read, even if the process is suspended (SIGSTOP, a busy machine) at any place. A round polls
+// first; closes go before other input, input before signals, and timers come last.
 #pragma once
 
 #include <coroutine>
@@ -124,6 +128,11 @@
     // Waits until all coroutines that are ready have had their turn, for one that could go on at once but has
     // done its share of work. Those that yield share what is left of each round.
     Wait yield() { return {*this, kYield, kNever}; }
+    // Waits for the next round: what came until then goes first.
+    Wait next_round() {
+        signalled_ = true;
+        return {*this, 0, kNever};
+    }
     // Ends the current wait, or the next one if there is none. Repeated calls before that have the effect of
     // one.
     void signal();
@@ -138,7 +147,8 @@
     static constexpr unsigned kYield = 8;  // as interest of a wait: none but its turn among those that yield
 
     bool due(unsigned interest) const { return signalled_ || (state_ & interest) != 0; }
-    void check();
+    // Queues the coroutine that waits here if its wait has ended; `goes_first`: ahead of all that are queued.
+    void check(bool goes_first = false);
 
     Scheduler& scheduler_;
     const int fd_;
@@ -156,7 +166,13 @@
     Scheduler(const Scheduler&) = delete;
     Scheduler& operator=(const Scheduler&) = delete;
 
-    Moment now() const;
+    // Within run() the time of the current round, else that of clock(). Deadlines are compared with it.
+    Moment now() const { return round_time_ != kNever ? round_time_ : clock(); }
+    // The present time, for the length of work and what is told to others.
+    Moment clock() const;
+    // Whether the current round began too long ago to act on what was read in it: next_round() is due first.
+    // Whoever waits for that goes on afterwards in any case, since on a busy machine each round may be long.
+    bool is_held_up() const { return clock() - now() >= kHeldUp; }
     // Runs rounds until `until`, which is called before each, returns true.
     void run(const std::function<bool()>& until);
     // Runs `action` at the end of the current round, outside all coroutines.
@@ -173,7 +189,14 @@
 
     using ReadyQueue = std::deque<std::pair<std::uint32_t, std::uint32_t>>;  // slot and generation
 
-    void poll(Moment until);
+    static constexpr Moment kHeldUp = 200;  // 20 ms
+
+    // Polls until what has come is fetched, and sets the time of the round.
+    void begin_round();
+    void fetch_events(Moment until);
+    // Returns how many events it fetched.
+    std::size_t poll(Moment until);
+    void signal_due_timers();
     void resume_ready();
     // Resumes coroutines that yielded, until their share of the round is used up.
     void resume_yielded();
@@ -186,9 +209,11 @@
     std::vector<Slot> slots_;
     std::vector<std::uint32_t> free_slots_;
     ReadyQueue ready_;
+    ReadyQueue signalled_;  // while a round begins: what was ready before it
     ReadyQueue yielded_;
     std::set<std::pair<Moment, Waiter*>> timers_;
     std::vector<std::function<void()>> deferred_;
+    Moment round_time_ = kNever;  // kNever: outside run()
     Moment longest_round_ = 0;
 };
 
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -237,11 +237,11 @@
 }
 
 void ClientConnections::begin_share(Connection& connection) {
-    connection.share_ends = scheduler_.now() + kShareOfWork;
+    connection.share_ends = scheduler_.clock() + kShareOfWork;
 }
 
 bool ClientConnections::has_done_share(Connection& connection) {
-    if (scheduler_.now() < connection.share_ends) return false;
+    if (scheduler_.clock() < connection.share_ends) return false;
     counters_.add(Count::kClientsYielded);
     return true;
 }
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -54,15 +54,21 @@
 }
 
 net::Task Dispatcher::run() {
+    bool was_postponed = false;
     for (;;) {
         Time due = timers_.empty() ? net::kNever : timers_.begin()->first;
         if (!events_.empty()) due = 0;
         due = std::max(due, next_turn_at_);
         const Time now = scheduler_.now();
-        if (now >= due)
-            run_turn(now);
-        else
+        if (now < due) {
             co_await waiter_.wait(0, due);
+        } else if (!was_postponed && scheduler_.is_held_up()) {
+            was_postponed = true;
+            co_await waiter_.next_round();
+        } else {
+            was_postponed = false;
+            run_turn(now);
+        }
     }
 }
 
--- a/src/service/limit_side.cpp
+++ b/src/service/limit_side.cpp
@@ -70,7 +70,7 @@
             case fleet::LimitConfig::Kind::kStrict: {
                 const auto& self = carrier->membership().self();
                 limit.leases.emplace(each.name, self.name, self.life, terms.leases(each, options.nodes),
-                                     scheduler.now());
+                                     scheduler.clock());
             }
         }
     }
@@ -82,7 +82,7 @@
 }
 
 void FleetLimiter::start() {
-    if (has_limit(Of::kPartsOut) || has_limit(Of::kFurtherSends)) update_module(scheduler_.now());
+    if (has_limit(Of::kPartsOut) || has_limit(Of::kFurtherSends)) update_module(scheduler_.clock());
     if (carrier_ != nullptr) register_handlers();
     task_ = run();
     task_.start([this](std::exception_ptr failure) {
@@ -101,18 +101,18 @@
 
 void FleetLimiter::stop() {
     for (auto& each : limits_) {
-        if (each->leases) send_leases(each->leases->leave(scheduler_.now()));
+        if (each->leases) send_leases(each->leases->leave(scheduler_.clock()));
     }
 }
 
 net::Task FleetLimiter::run() {
     for (;;) {
-        if (scheduler_.now() >= next_needs_at_) exchange_needs(scheduler_.now());
-        if (scheduler_.now() >= next_module_update_at_) update_module(scheduler_.now());
+        if (scheduler_.clock() >= next_needs_at_) exchange_needs(scheduler_.clock());
+        if (scheduler_.clock() >= next_module_update_at_) update_module(scheduler_.clock());
         Time due = std::min(next_needs_at_, next_module_update_at_);
         for (auto& each : limits_) {
             if (!each->leases) continue;
-            const auto now = scheduler_.now();
+            const auto now = scheduler_.clock();
             each->leases->need(each->need(now));
             if (now >= each->leases->due()) send_leases(each->leases->tick(now));
             due = std::min(due, each->leases->due());
@@ -123,7 +123,7 @@
                     "limit " + each->terms.name +
                         (owns ? " is leased out by this node" : " is not leased out by this node any more"));
         }
-        co_await waiter_.wait(0, std::max(due, scheduler_.now() + 1));
+        co_await waiter_.wait(0, std::max(due, scheduler_.clock() + 1));
     }
 }
 
@@ -192,7 +192,7 @@
 }
 
 bool FleetLimiter::may_connect(net::Endpoint at) {
-    const auto now = scheduler_.now();
+    const auto now = scheduler_.clock();
     const auto server = std::uint64_t{at.address} << 16U | at.port;
     std::vector<Limit*> paces;
     for (auto& each : limits_) {
@@ -217,7 +217,7 @@
     }
     for (auto& each : limits_) {
         if (each->leases && each->terms.name == message->limit)
-            send_leases(each->leases->take(scheduler_.now(), *message));
+            send_leases(each->leases->take(scheduler_.clock(), *message));
     }
 }
 
@@ -235,7 +235,7 @@
 SubmitResult FleetLimiter::ask(MultigetRequest multiget, std::function<void(MultigetResult)> ended) {
     if (const auto acceptance = inner_.check_acceptance(multiget.name); acceptance != Acceptance::kTaken)
         return {acceptance, 0};
-    const auto now = scheduler_.now();
+    const auto now = scheduler_.clock();
     std::vector<Limit*> gates;
     for (auto& each : limits_) {
         if (each->terms.of != Of::kMultigets) continue;
@@ -258,7 +258,7 @@
 }
 
 std::string FleetLimiter::print() const {
-    const auto now = scheduler_.now();
+    const auto now = scheduler_.clock();
     std::string out;
     for (const auto& each : limits_) {
         char text[256];
@@ -284,7 +284,7 @@
 
 std::string FleetLimiter::print_gauges() const {
     std::string out;
-    const auto now = scheduler_.now();
+    const auto now = scheduler_.clock();
     for (const auto& each : limits_) {
         const auto name = "limit_" + each->terms.name + '_';
         if (each->terms.of == Of::kMultigets) {
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -244,7 +244,7 @@
     member.entry.place = static_cast<int>(*place);
     member.entry.size = *size;
     member.wall_started = static_cast<net::Moment>(std::llround(*started * 10));
-    member.entry.started = starts_.convert(*id, member.wall_started, scheduler_.now(), net::wall_clock());
+    member.entry.started = starts_.convert(*id, member.wall_started, scheduler_.clock(), net::wall_clock());
     if (*phase == "Ready")
         member.entry.state = ServerState::kReady;
     else if (*phase == "Terminating")
--- a/src/service/log.cpp
+++ b/src/service/log.cpp
@@ -104,7 +104,7 @@
 void Log::event(Level level, std::string_view event, std::string_view text,
                 std::initializer_list<Field> fields) {
     if (!is_enabled(level)) return;
-    const auto now = scheduler_.now();
+    const auto now = scheduler_.clock();
     if (now - second_started_ >= kSecond) {
         const int suppressed = std::exchange(suppressed_, 0);
         second_started_ = now;
@@ -124,7 +124,7 @@
 
 void Log::write(Level level, std::string_view event, std::string_view text,
                 std::initializer_list<Field> fields) {
-    const auto now = scheduler_.now();
+    const auto now = scheduler_.clock();
     const auto time = std::to_string(now / kSecond) + '.' + std::to_string(kSecond + now % kSecond).substr(1);
     std::string line;
     if (options_.format == LogFormat::kJson) {
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -87,7 +87,7 @@
 // While a send is queued for a connection, the client may leave, the deadline may pass or the server may
 // begin to drain.
 bool ServerConnections::may_write(const ActiveSend& sent, const Server& server) const {
-    return server.state == ServerState::kReady && scheduler_.now() < sent.send.deadline &&
+    return server.state == ServerState::kReady && scheduler_.clock() < sent.send.deadline &&
            dispatcher_.needs_value(sent.send.part);
 }
 
@@ -143,7 +143,7 @@
     connection->open_sends += keys.size();
     update_idle(*connection);
     connection->queued.push_back(std::move(keys));
-    if (connection->connected) write_frames(*connection);
+    if (connection->connected && !scheduler_.is_held_up()) write_frames(*connection);
     connection->stream.waiter().signal();
 }
 
@@ -236,6 +236,9 @@
     while (!connection.closing) {
         if (waiter.may(net::kRead)) got = read_frames(connection);
         if (is_closed() || connection.closing) break;
+        // The clients of queued sends may have left while the process was held up.
+        if (!connection.queued.empty() && scheduler_.is_held_up()) co_await waiter.next_round();
+        if (connection.closing) break;
         write_frames(connection);
         update_idle(connection);
         if (stream.broken()) {  // input that arrived before the failure is still used
@@ -429,7 +432,7 @@
     }
     if (connection.writing.empty()) return;
     connection.frame = parse::begin_frame('S');
-    const Time now = scheduler_.now();
+    const Time now = scheduler_.clock();
     for (const auto& key : connection.writing) {
         auto& sent = active_sends_.at(key);
         sent.stage = Stage::kWriting;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -2,9 +2,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "net/stream.hpp"
 
@@ -110,6 +114,51 @@
     CHECK(out == "ab~");
 }
 
+// Suspends the thread within a round, as SIGSTOP does, and writes how far the scheduler's time went
+// meanwhile.
+Task suspend_within_round(Scheduler& scheduler, Waiter& waiter, std::function<void()> meanwhile,
+                          Moment& passed) {
+    co_await waiter.wait(0);
+    const auto before = scheduler.now();
+    meanwhile();
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    passed = scheduler.now() - before;
+}
+
+TEST_CASE("no deadline passes during a round, and what came meanwhile goes before timers and signals") {
+    Scheduler scheduler;
+    SocketPair pair, closed_pair;
+    Stream stream(scheduler, std::move(pair.near));
+    Stream closed(scheduler, std::move(closed_pair.near));
+    Waiter suspended(scheduler), signalled(scheduler), timer(scheduler);
+    run_rounds(scheduler, 2);
+    std::string order;
+    Moment passed = -1;
+    auto record = [&](Waiter& waiter, unsigned interest, Moment until, char name) -> Task {
+        co_await waiter.wait(interest, until);
+        order += name;
+    };
+    std::vector<Task> tasks;
+    tasks.push_back(suspend_within_round(
+        scheduler, suspended,
+        [&] {
+            signalled.signal();
+            CHECK(write(pair.far.get(), "x", 1) == 1);
+            closed_pair.far = Fd{};
+        },
+        passed));
+    tasks.push_back(record(timer, 0, scheduler.now() + 100, 't'));
+    tasks.push_back(record(signalled, 0, kNever, 's'));
+    tasks.push_back(record(stream.waiter(), kRead, kNever, 'r'));
+    tasks.push_back(record(closed.waiter(), kClosed, kNever, 'c'));
+    for (auto& task : tasks) task.start({});
+    suspended.signal();
+    scheduler.run([&] { return order.size() == 4; });
+    CHECK(passed == 0);
+    CHECK(order == "crst");
+    CHECK_FALSE(scheduler.is_held_up());
+}
+
 TEST_CASE("a waiter reports received bytes, space to write and a close according to its interest") {
     Scheduler scheduler;
     SocketPair pair;
