--- a/tests/input_budget_test.cpp
+++ b/tests/input_budget_test.cpp
@@ -73,6 +73,26 @@
     check_crowd(limits, unfinished_body(64'000));
 }
 
+// A crowd that came back after each eviction kept the memory full, and ordinary requests were refused for it.
+TEST_CASE("a crowd that returns after each eviction takes no room from ordinary requests") {
+    Limits limits;
+    SUBCASE("192 MB and 1024 descriptors") {}
+    SUBCASE("48 MB and 1024 descriptors") { limits = {48, 1024}; }
+    SUBCASE("24 MB and 256 descriptors") { limits = {24, 256}; }
+    LimitedNode node(limits);
+    Service service;
+    {
+        const ReturningCrowd crowd(node.program.at(), limits.sockets / 2 - 40, unfinished_body(64'000));
+        service = ask_as_ordinary_client(node.program.at(), milliseconds(3'000), "o");
+        CHECK(crowd.connections() > limits.sockets / 2 - 40);
+    }
+    CHECK(service.requests > 0);
+    CHECK(service.lost == 0);
+    CHECK(service.served * 10 >= service.requests * 9);
+    CHECK(node.program.counter("requests_without_memory") == 0);
+    node.check_memory();
+}
+
 // The same on the peers' port: states of members that never come whole.
 TEST_CASE("unfinished states of front nodes stay within the memory limit") {
     Listener server;
--- a/tests/stand_ins/abusive_clients.hpp
+++ b/tests/stand_ins/abusive_clients.hpp
@@ -74,6 +74,55 @@
     std::vector<Peer> peers_;
 };
 
+// A crowd whose clients connect again, and send the same bytes, as soon as their connections end.
+class ReturningCrowd {
+public:
+    ReturningCrowd(net::Endpoint node, std::size_t count, std::string bytes)
+        : node_(node), bytes_(std::move(bytes)), clients_(count), thread_([this] { run(); }) {}
+    ~ReturningCrowd() {
+        stop_ = true;
+        thread_.join();
+    }
+    ReturningCrowd(const ReturningCrowd&) = delete;
+    ReturningCrowd& operator=(const ReturningCrowd&) = delete;
+    std::uint64_t connections() const { return connections_; }
+
+private:
+    struct Client {
+        Peer peer;
+        std::size_t sent = 0;
+    };
+    void run() {
+        while (!stop_) {
+            std::vector<pollfd> polled;
+            for (auto& client : clients_) {
+                if (client.peer.fd() < 0) connect(client);
+                const auto count = send(client.peer.fd(), bytes_.data() + client.sent,
+                                        bytes_.size() - client.sent, MSG_NOSIGNAL);
+                if (count > 0) client.sent += static_cast<std::size_t>(count);
+                polled.push_back({client.peer.fd(), POLLIN, 0});
+            }
+            poll(polled.data(), polled.size(), 10);
+            for (std::size_t i = 0; i < polled.size(); ++i) {
+                if (polled[i].revents != 0) clients_[i].peer = Peer{};
+            }
+        }
+    }
+    void connect(Client& client) {
+        client.peer = Peer(node_);
+        client.sent = 0;
+        fcntl(client.peer.fd(), F_SETFL, O_NONBLOCK);
+        ++connections_;
+    }
+
+    const net::Endpoint node_;
+    const std::string bytes_;
+    std::vector<Client> clients_;
+    std::atomic<std::uint64_t> connections_ = 0;
+    std::atomic<bool> stop_ = false;
+    std::thread thread_;
+};
+
 // Sends requests on one connection as fast as the node takes them, reads and drops the answers, and connects
 // again when the connection ends.
 class Flooder {
