Whole requests have memory of their own beside any crowd of unfinished ones

Callers saw: 503 "no memory for this request" for a half of their small requests and more, while clients that wrote half a body came back after each eviction. Cause: one budget for unfinished and whole requests; the crowd filled it again before an ordinary request came, and eviction began only when it was used up. Change: connections without a complete request take three quarters of the clients' budget at most; eviction begins when half of a reserve is used, takes none that holds no more than the 12 KB it is assured of, and a large multiget leaves the reserve to small ones.

--- a/src/service/client_connection.hpp
+++ b/src/service/client_connection.hpp
@@ -19,15 +19,23 @@
     // Allocated for a connection besides its buffers: this object, its coroutine's frame and its places in
     // lists and sets, in bytes.
     static constexpr std::size_t kFixedBytes = 4096;
+    // What each connection may hold, whatever the others do: enough for an ordinary request.
+    static constexpr std::size_t kAssuredBytes = 3 * kFixedBytes;
 
-    ClientConnection(net::Scheduler& scheduler, net::Fd fd, MemoryBudget& budget, std::uint64_t number_of)
-        : number(number_of), stream(scheduler, std::move(fd)), phase_since(scheduler.now()), memory(budget) {}
+    ClientConnection(net::Scheduler& scheduler, net::Fd fd, InputBudgets& budgets, std::uint64_t number_of)
+        : number(number_of), stream(scheduler, std::move(fd)), phase_since(scheduler.now()),
+          memory(budgets.clients), unfinished(budgets.unfinished) {}
 
     // What it holds now, as allocated, in bytes.
     std::size_t held_bytes() const {
         return kFixedBytes + stream.buffer().capacity() + (request ? request->memory() : 0) +
                (skipped_request ? skipped_request->memory() : 0) + multiget_bytes + output_bytes;
     }
+    bool has_complete_request() const { return phase == Phase::kBusy || phase == Phase::kWriting; }
+    void update_charges() {
+        memory.set(held_bytes());
+        unfinished.set(has_complete_request() ? 0 : memory.bytes());
+    }
     bool has_skipped_requests() const {
         return skipped_request || skipped_requests > 0 || closes_after_skipped;
     }
@@ -58,7 +66,8 @@
     std::size_t multiget_bytes = 0;  // that the open multiget takes in this process, at most
     std::size_t output_bytes = 0;    // of the answer being written
     MemoryCharge memory;
-    net::Task task;  // last member: destroyed first
+    MemoryCharge unfinished;  // the same, while there is no complete request
+    net::Task task;           // last member: destroyed first
 };
 
 using ClientConnectionList = std::list<std::unique_ptr<ClientConnection>>;
--- a/src/service/client_eviction.cpp
+++ b/src/service/client_eviction.cpp
@@ -33,9 +33,9 @@
     return connection.phase != Phase::kWriting || now - connection.phase_since >= kWriteGrace;
 }
 
-bool can_free_memory(const ClientConnection& connection) {
+bool can_free_memory(const ClientConnection& connection, ChargeOfConnection charge) {
     return connection.eviction == Eviction::kNone && connection.phase != Phase::kBusy &&
-           connection.memory.bytes() > 2 * ClientConnection::kFixedBytes;
+           (connection.*charge).bytes() > ClientConnection::kAssuredBytes;
 }
 
 // Memory held times the time for which it was held: a large request that arrives at once costs little.
@@ -63,24 +63,24 @@
 }
 
 std::vector<ClientConnection*> pick_for_memory(const ClientConnectionList& connections, Time now,
-                                               std::size_t bytes) {
+                                               ChargeOfConnection charge, std::size_t bytes) {
     std::vector<ClientConnection*> candidates;
     for (const auto& connection : connections) {
-        if (can_free_memory(*connection)) candidates.push_back(connection.get());
+        if (can_free_memory(*connection, charge)) candidates.push_back(connection.get());
     }
     std::sort(candidates.begin(), candidates.end(),
               [now](const auto* a, const auto* b) { return memory_cost(*a, now) > memory_cost(*b, now); });
     std::size_t freed = 0;
     std::size_t count = 0;
-    while (count < candidates.size() && freed < bytes) freed += candidates[count++]->memory.bytes();
+    while (count < candidates.size() && freed < bytes) freed += (candidates[count++]->*charge).bytes();
     candidates.resize(count);
     return candidates;
 }
 
-std::size_t bytes_being_freed(const ClientConnectionList& connections) {
+std::size_t bytes_being_freed(const ClientConnectionList& connections, ChargeOfConnection charge) {
     std::size_t sum = 0;
     for (const auto& connection : connections) {
-        if (connection->eviction == Eviction::kForMemory) sum += connection->memory.bytes();
+        if (connection->eviction == Eviction::kForMemory) sum += ((*connection).*charge).bytes();
     }
     return sum;
 }
--- a/src/service/client_eviction.hpp
+++ b/src/service/client_eviction.hpp
@@ -13,12 +13,15 @@
 ClientConnection* pick_for_descriptor(const ClientConnectionList& connections, Time now,
                                       Time first_request_time, std::size_t capacity);
 
-// The connections that free at least `bytes` together, those first that held most for longest; fewer bytes if
-// no more can be freed.
+// The charge of a connection to one of the budgets: `memory` or `unfinished`.
+using ChargeOfConnection = MemoryCharge ClientConnection::*;
+
+// The connections that give back at least `bytes` of this charge together, those first that held most for
+// longest; fewer bytes if no more can be freed.
 std::vector<ClientConnection*> pick_for_memory(const ClientConnectionList& connections, Time now,
-                                               std::size_t bytes);
+                                               ChargeOfConnection charge, std::size_t bytes);
 
-// What evicted connections will give back, in bytes.
-std::size_t bytes_being_freed(const ClientConnectionList& connections);
+// What evicted connections will give back of this charge, in bytes.
+std::size_t bytes_being_freed(const ClientConnectionList& connections, ChargeOfConnection charge);
 
 }  // namespace pinedoor::service
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -6,8 +6,6 @@
 #include <utility>
 #include <variant>
 
-#include "service/client_eviction.hpp"
-
 namespace pinedoor::service {
 namespace {
 
@@ -39,13 +37,13 @@
 constexpr std::size_t kMaxAheadBytes = 256 * 1024;
 // The most that one read adds to what a connection holds: a buffer that doubles to the largest body.
 constexpr std::size_t kMaxGrowthBytes = 64 * 1024;
-// What each connection may hold, whatever the others do: enough for an ordinary request.
-constexpr std::size_t kAssuredBytes = 3 * ClientConnection::kFixedBytes;
 constexpr Time kMemoryRetryDelay = 10;  // 1 ms
 constexpr std::size_t kMemoryReserveDivisor = 8;
 // Allocated for an open multiget besides its query, and for each of its parts, at most, in bytes.
 constexpr std::size_t kMultigetBytes = 2048;
 constexpr std::size_t kPartBytes = 1024;
+// A multiget that takes no more than this may use the reserve.
+constexpr std::size_t kOrdinaryMultigetBytes = 32 * 1024;
 constexpr int kSkippedAnswersPerWrite = 64;
 
 std::string format_seconds(Time time) {
@@ -70,12 +68,13 @@
 }  // namespace
 
 ClientConnections::ClientConnections(net::Scheduler& scheduler, RequestHandler& handler, Counters& counters,
-                                     Log& log, MemoryBudget& memory, ClientSideConfig config,
+                                     Log& log, InputBudgets& budgets, ClientSideConfig config,
                                      std::function<std::string()> print_counters,
                                      std::function<bool()> is_ready)
-    : scheduler_(scheduler), handler_(handler), counters_(counters), log_(log), memory_(memory),
-      config_(std::move(config)), parser_(config_.vocabulary), print_counters_(std::move(print_counters)),
-      is_ready_(std::move(is_ready)), names_(config_.max_names, config_.seed) {}
+    : scheduler_(scheduler), handler_(handler), counters_(counters), log_(log), budgets_(budgets),
+      memory_(budgets.clients), config_(std::move(config)), parser_(config_.vocabulary),
+      print_counters_(std::move(print_counters)), is_ready_(std::move(is_ready)),
+      names_(config_.max_names, config_.seed) {}
 
 void ClientConnections::start() {
     listener_ = net::listen_on(config_.listen);
@@ -169,7 +168,7 @@
 }
 
 void ClientConnections::add_connection(net::Fd fd) {
-    auto accepted = std::make_unique<Connection>(scheduler_, std::move(fd), memory_, ++last_number_);
+    auto accepted = std::make_unique<Connection>(scheduler_, std::move(fd), budgets_, ++last_number_);
     counters_.add(Count::kClientsAccepted);
     auto& connection = *connections_.emplace_back(std::move(accepted));
     peak_connections_ = std::max(peak_connections_, connections_.size());
@@ -218,22 +217,39 @@
     evictions_wanted_ = std::min(2 * evictions_wanted_, kMaxEvictionsPerTurn);
 }
 
-void ClientConnections::free_memory() {
-    const auto reserve = std::max(memory_.limit() / kMemoryReserveDivisor, 2 * kMaxGrowthBytes);
-    const auto target = memory_.limit() - std::min(memory_.limit(), reserve);
-    const auto remaining = memory_.used() - bytes_being_freed(connections_);
+std::size_t ClientConnections::memory_reserve(const MemoryBudget& budget) const {
+    return std::min(budget.limit(), std::max(budget.limit() / kMemoryReserveDivisor, 2 * kMaxGrowthBytes));
+}
+
+void ClientConnections::free_memory(const MemoryBudget& budget, ChargeOfConnection charge) {
+    const auto target = budget.limit() - memory_reserve(budget);
+    const auto remaining = budget.used() - bytes_being_freed(connections_, charge);
     if (remaining <= target) return;
-    for (auto* connection : pick_for_memory(connections_, scheduler_.now(), remaining - target))
+    for (auto* connection : pick_for_memory(connections_, scheduler_.now(), charge, remaining - target))
         evict(*connection, Eviction::kForMemory);
 }
 
+void ClientConnections::free_memory() {
+    free_memory(budgets_.unfinished, &Connection::unfinished);
+    free_memory(memory_, &Connection::memory);
+}
+
 void ClientConnections::update_memory(Connection& connection) {
-    connection.memory.set(connection.held_bytes());
-    if (!memory_.has_room(0)) free_memory();
+    connection.update_charges();
+    const auto is_short = [this](const MemoryBudget& budget) {
+        return !budget.has_room(memory_reserve(budget) / 2);
+    };
+    if (is_short(memory_) || is_short(budgets_.unfinished)) free_memory();
 }
 
 bool ClientConnections::may_hold_more(const Connection& connection) const {
-    return memory_.has_room(kMaxGrowthBytes) || connection.memory.bytes() <= kAssuredBytes;
+    if (connection.memory.bytes() <= Connection::kAssuredBytes) return true;
+    return memory_.has_room(kMaxGrowthBytes) &&
+           (connection.has_complete_request() || budgets_.unfinished.has_room(kMaxGrowthBytes));
+}
+
+bool ClientConnections::has_room_for_multiget(std::size_t bytes) const {
+    return memory_.has_room(bytes > kOrdinaryMultigetBytes ? bytes + memory_reserve(memory_) : bytes);
 }
 
 void ClientConnections::begin_share(Connection& connection) {
@@ -296,6 +312,7 @@
             begin_share(connection);
         }
         connection.phase = Phase::kBusy;
+        update_memory(connection);
         const bool evicted = std::exchange(connection.eviction, Eviction::kNone) != Eviction::kNone;
         std::optional<Reply> reply;
         if (is_skipped && request.state() == State::kDone) {
@@ -481,7 +498,7 @@
         return bad_request(409, "a request of this X-Txn may have run");
     }
     const auto bytes = bytes_of(multiget);
-    if (!memory_.has_room(bytes)) {
+    if (!has_room_for_multiget(bytes)) {
         counters_.add(Count::kRequestsWithoutMemory);
         free_memory();
         return Reply{503, "", "no memory for this request\n"};
@@ -556,6 +573,9 @@
     append_line(out, "client_memory_bytes", memory_.used());
     append_line(out, "client_memory_bytes_most", memory_.most_used());
     append_line(out, "client_memory_bytes_limit", memory_.limit());
+    append_line(out, "unfinished_memory_bytes", budgets_.unfinished.used());
+    append_line(out, "unfinished_memory_bytes_most", budgets_.unfinished.most_used());
+    append_line(out, "unfinished_memory_bytes_limit", budgets_.unfinished.limit());
     append_line(out, "names_remembered", names_.size());
     append_line(out, "names_forgotten_early", names_.forgotten_early());
     return out;
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -16,6 +16,7 @@
 #include "net/stream.hpp"
 #include "parse/http.hpp"
 #include "service/client_connection.hpp"
+#include "service/client_eviction.hpp"
 #include "service/counters.hpp"
 #include "service/input_budgets.hpp"
 #include "service/log.hpp"
@@ -39,7 +40,7 @@
 class ClientConnections {
 public:
     ClientConnections(net::Scheduler& scheduler, RequestHandler& handler, Counters& counters, Log& log,
-                      MemoryBudget& memory, ClientSideConfig config,
+                      InputBudgets& budgets, ClientSideConfig config,
                       std::function<std::string()> print_counters, std::function<bool()> is_ready);
 
     void start();
@@ -71,7 +72,13 @@
     void evict(Connection& connection, Connection::Eviction reason);
     // Evicts connections whose descriptors are wanted; the more, the longer some have been waiting.
     void free_descriptors();
+    // Evicts connections until the reserve of the budget is free.
+    void free_memory(const MemoryBudget& budget, ChargeOfConnection charge);
     void free_memory();
+    // What is kept free for the requests of clients that hold little.
+    std::size_t memory_reserve(const MemoryBudget& budget) const;
+    // Whether there is memory for a multiget that takes so many bytes; a large one leaves the reserve.
+    bool has_room_for_multiget(std::size_t bytes) const;
     void update_memory(Connection& connection);
     // Whether the connection may read more of its request.
     bool may_hold_more(const Connection& connection) const;
@@ -102,6 +109,7 @@
     RequestHandler& handler_;
     Counters& counters_;
     Log& log_;
+    InputBudgets& budgets_;
     MemoryBudget& memory_;
     const ClientSideConfig config_;
     const MultigetParser parser_;
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -108,7 +108,7 @@
       list_client_(scheduler, dispatcher_, counters_, log_, launch.discovery(),
                    launch.settings().zone_names()),
       client_connections_(
-          scheduler, request_handler(), counters_, log_, budgets_.clients,
+          scheduler, request_handler(), counters_, log_, budgets_,
           client_side_config(launch, budgets_, descriptors_, keeper_ != nullptr),
           [this] { return print_counters(); }, [this] { return dispatcher_.has_servers(); }),
       reload_waiter_(scheduler) {
--- a/src/service/input_budgets.hpp
+++ b/src/service/input_budgets.hpp
@@ -53,10 +53,12 @@
 public:
     // `memory`: the most that the process may hold, in bytes.
     explicit InputBudgets(std::size_t memory)
-        : clients(input_bytes(memory) / 2), servers(input_bytes(memory) / 16 * 3),
-          values(input_bytes(memory) / 16 * 3), name_bytes(input_bytes(memory) / 8) {}
+        : clients(input_bytes(memory) / 2), unfinished(input_bytes(memory) / 8 * 3),
+          servers(input_bytes(memory) / 16 * 3), values(input_bytes(memory) / 16 * 3),
+          name_bytes(input_bytes(memory) / 8) {}
 
     MemoryBudget clients;          // connections of clients, their requests and unread answers
+    MemoryBudget unfinished;       // of these: connections that have no complete request
     MemoryBudget servers;          // buffers of connections to index servers
     MemoryBudget values;           // values of open requests
     const std::size_t name_bytes;  // for names of requests that may have run
