--- a/src/lab/soak/soak_checker.cpp
+++ b/src/lab/soak/soak_checker.cpp
@@ -27,6 +27,7 @@
         case Rule::kDescriptors: return "descriptors within their limit";
         case Rule::kProcess: return "the process ends only when told to";
         case Rule::kUnfinished: return "unfinished requests end in time";
+        case Rule::kOthersUnaffected: return "ordinary requests are not refused for what others cost";
         case Rule::kServed: break;
     }
     return "ordinary clients are served";
@@ -67,8 +68,9 @@
         requests_[id] = request;
     } else if (entry == "end") {
         int status = 0;
-        fields >> id >> status;
-        check_end(time, id, status);
+        std::string reason;
+        fields >> id >> status >> reason;
+        check_end(time, id, status, reason == "budget");
     } else if (entry == "cut") {
         fields >> id;
         check_cut(time, id);
@@ -128,11 +130,12 @@
     }
 }
 
-void SoakChecker::check_end(Ms time, const std::string& id, int status) {
+void SoakChecker::check_end(Ms time, const std::string& id, int status, bool refused_for_budget) {
     auto& request = requests_[id];
     if (request.ended) return breach(Rule::kAnswered, time, id + " was answered twice");
     request.ended = true;
     if (!request.ordinary) return;
+    if (refused_for_budget) breach(Rule::kOthersUnaffected, time, id + " was refused for want of room");
     totals_.served += status == 200 ? 1 : 0;
     totals_.refused += status == 503 || status == 429 ? 1 : 0;
     totals_.failed += status != 200 && status != 503 && status != 429 ? 1 : 0;
--- a/src/lab/soak/soak_checker.hpp
+++ b/src/lab/soak/soak_checker.hpp
@@ -6,7 +6,7 @@
 //   limit memory BYTES sockets N
 //   ask ID wait MS safe|once           the last byte of an ordinary request was written
 //   ask ID abusive safe|once           the same of an abusive client; its answer is not judged
-//   end ID STATUS                      its answer was read whole
+//   end ID STATUS [budget]             its answer was read whole; budget: refused for want of memory or room
 //   cut ID                             its connection ended without an answer
 //   unsent ID                          no connection was made, so it was never taken
 //   left ID                            its client closed the connection
@@ -34,6 +34,7 @@
         kDescriptors,
         kProcess,
         kUnfinished,
+        kOthersUnaffected,
         kServed
     } rule;
     std::string what;
@@ -64,7 +65,7 @@
     };
 
     void breach(SoakBreach::Rule rule, Ms time, const std::string& what);
-    void check_end(Ms time, const std::string& id, int status);
+    void check_end(Ms time, const std::string& id, int status, bool refused_for_budget);
     void check_cut(Ms time, const std::string& id);
     void check_run(Ms time, const std::string& part);
     void check_exit(Ms time, int code);
--- a/src/lab/soak/soak_clients.cpp
+++ b/src/lab/soak/soak_clients.cpp
@@ -94,7 +94,10 @@
                 stream->buffer().drop(answer.feed(stream->buffer().held()));
             }
             if (answer.state() == State::kDone) {
-                log_.write("end " + id + ' ' + std::to_string(answer.status()));
+                // The decision module's refusals have no body.
+                const bool for_budget = answer.status() == 503 && !answer.take_body().empty();
+                log_.write("end " + id + ' ' + std::to_string(answer.status()) +
+                           (for_budget ? " budget" : ""));
                 client.was_answered = true;
                 if (!answer.keep_alive()) stream.reset();
             } else if (ended) {
--- a/tests/lab_soak_test.cpp
+++ b/tests/lab_soak_test.cpp
@@ -62,6 +62,14 @@
     CHECK(broken_by("10 stays a1\n3070 over a1\n") == "unfinished requests end in time\n");
 }
 
+TEST_CASE("a refusal of an ordinary request for want of room is found by the soak's checker") {
+    const std::string others = "ordinary requests are not refused for what others cost\n";
+    const std::string served = "5 ask a wait 400 safe\n6 end a 200\n";
+    CHECK(broken_by(served + "10 ask b wait 400 safe\n20 end b 503\n") == "");
+    CHECK(broken_by(served + "10 ask b wait 400 safe\n20 end b 503 budget\n") == others);
+    CHECK(broken_by(served + "10 ask b abusive safe\n20 end b 503 budget\n") == "");
+}
+
 TEST_CASE("a plan of the soak follows from its seed, and its kills after SIGTERM come at the earliest time") {
     CHECK(draw_soak_plan(7, 12'000).text() == draw_soak_plan(7, 12'000).text());
     for (std::uint64_t seed = 1; seed < 200; ++seed) {
