Evictions that are still pending count, so that a crowd does not take harmless clients with it

Callers saw: on a node of 16 MB (64 connections) an ordinary client's connection was closed 91 times in 224 requests while a crowd came back at full speed. Cause: each turn with a full table evicted up to 32 more connections, those of the last turn not being gone yet; once all new ones were marked, those between two requests followed. Change: pending evictions count, and a turn evicts an eighth of the table at most.

--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -23,6 +23,8 @@
 constexpr Time kAcceptRetryDelay = 500;
 constexpr int kMaxAcceptsPerTurn = 16;
 constexpr std::size_t kMaxEvictionsPerTurn = 32;
+// No more than this fraction of all connections is evicted in a turn.
+constexpr std::size_t kEvictionsDivisor = 8;
 // A client must get an error or a close within 3 s of connecting, whatever it does, and a request that has
 // begun gets no more time than that; a connection without an open request may be closed after 2 s.
 constexpr Time kRequestTimeout = 25'000;
@@ -208,13 +210,19 @@
 // Keeps clients that open connections and send nothing, never complete a request, or never disconnect from
 // using up all connections.
 void ClientConnections::free_descriptors() {
-    for (std::size_t count = 0; count < evictions_wanted_; ++count) {
+    // Those that were evicted and are not gone yet count, or the next ones in order would go with them.
+    const auto pending = static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto& each) { return each->eviction != Eviction::kNone; }));
+    for (std::size_t count = pending; count < evictions_wanted_; ++count) {
         auto* const connection = pick_for_descriptor(connections_, scheduler_.now(),
                                                      config_.first_request_time, config_.max_connections);
         if (connection == nullptr) return;
         evict(*connection, Eviction::kForDescriptor);
     }
-    evictions_wanted_ = std::min(2 * evictions_wanted_, kMaxEvictionsPerTurn);
+    const auto most =
+        std::max<std::size_t>(1, std::min(kMaxEvictionsPerTurn, config_.max_connections / kEvictionsDivisor));
+    evictions_wanted_ = std::min(2 * evictions_wanted_, most);
 }
 
 std::size_t ClientConnections::memory_reserve(const MemoryBudget& budget) const {
--- a/tests/input_budget_test.cpp
+++ b/tests/input_budget_test.cpp
@@ -62,6 +62,8 @@
     SUBCASE("192 MB and 1024 descriptors") {}
     SUBCASE("48 MB and 1024 descriptors") { limits = {48, 1024}; }
     SUBCASE("24 MB and 256 descriptors") { limits = {24, 256}; }
+    SUBCASE("16 MB and 1024 descriptors") { limits = {16, 1024}; }
+    SUBCASE("16 MB and 96 descriptors") { limits = {16, 96}; }
     check_crowd(limits, unfinished_head_of_short_fields(16'000));
 }
 
@@ -70,6 +72,8 @@
     SUBCASE("192 MB and 1024 descriptors") {}
     SUBCASE("48 MB and 1024 descriptors") { limits = {48, 1024}; }
     SUBCASE("24 MB and 256 descriptors") { limits = {24, 256}; }
+    SUBCASE("16 MB and 1024 descriptors") { limits = {16, 1024}; }
+    SUBCASE("16 MB and 96 descriptors") { limits = {16, 96}; }
     check_crowd(limits, unfinished_body(64'000));
 }
 
@@ -79,6 +83,8 @@
     SUBCASE("192 MB and 1024 descriptors") {}
     SUBCASE("48 MB and 1024 descriptors") { limits = {48, 1024}; }
     SUBCASE("24 MB and 256 descriptors") { limits = {24, 256}; }
+    SUBCASE("16 MB and 1024 descriptors") { limits = {16, 1024}; }
+    SUBCASE("16 MB and 96 descriptors") { limits = {16, 96}; }
     LimitedNode node(limits);
     Service service;
     {
