--- a/tests/input_budget_test.cpp
+++ b/tests/input_budget_test.cpp
@@ -118,6 +118,51 @@
     CHECK(program.wait() == 0);
 }
 
+// The first line that an operator's command prints about a front node's peers, and how long it took.
+struct CommandRun {
+    std::string text;
+    milliseconds took;
+};
+CommandRun list_peers(const std::string& control) {
+    const auto began = std::chrono::steady_clock::now();
+    const auto command = std::string(PINEDOOR_PROGRAM) + " peers --control " + control + " list 2>&1";
+    CommandRun run;
+    auto* const pipe = popen(command.c_str(), "r");
+    for (char bytes[4096]; const auto count = fread(bytes, 1, sizeof bytes, pipe);)
+        run.text.append(bytes, count);
+    pclose(pipe);
+    run.took = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - began);
+    return run;
+}
+
+// Connections that sent nothing whole took all places, of members and of the operator's commands.
+TEST_CASE("a crowd on the peers' port keeps neither a member nor an operator's command waiting") {
+    Listener server;
+    Listener discovery;
+    const pinedoor::lab::HeldPort first_port, second_port;
+    const auto peers = [](net::Endpoint at, const std::string& more) {
+        return "[peers]\non = true\nlisten = \"" + net::to_text(at) + "\"\n" + more;
+    };
+    FrontNodeProcess first({{"s-1", server.at()}}, discovery.at());
+    first.with_settings(peers(first_port.at(), "control = \"@/control\"\n"));
+    first.start().client();
+    const ReturningCrowd crowd(first_port.at(), 140, std::string("\xff\xff\x0f\x00", 4));
+    usleep(300'000);
+    FrontNodeProcess second({{"s-1", server.at()}}, discovery.at());
+    second.with("\"name\":\"n0\"", "\"name\":\"n1\"")
+        .with_settings(peers(second_port.at(), "seeds = [\"" + net::to_text(first_port.at()) + "\"]\n"));
+    second.start().client();
+    const auto began = std::chrono::steady_clock::now();
+    CommandRun run;
+    do {
+        run = list_peers(first.folder() + "/control");
+        CHECK(run.took < milliseconds(1'000));
+        usleep(50'000);
+    } while (run.text.find("n1 alive") == std::string::npos &&
+             std::chrono::steady_clock::now() - began < milliseconds(2'000));
+    CHECK(run.text.find("n1 alive") != std::string::npos);
+}
+
 // The listener was closed with what waited behind a full table of connections.
 TEST_CASE("a shutdown answers a client that waits for a free connection") {
     Listener server;
