Configuration files are read up to 8 MB and no further

The limit was checked after the whole file had been read, so a wrong path cost as much memory as the file had. The peers' file of seeds is read up to 16 KB.

--- a/src/peers/carrier.cpp
+++ b/src/peers/carrier.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cerrno>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <system_error>
 #include <utility>
@@ -25,6 +26,7 @@
 constexpr int kMaxAcceptsPerTurn = 16;
 constexpr std::size_t kMaxCommandBytes = 256;
 constexpr std::size_t kMaxSeeds = 64;
+constexpr std::size_t kMaxSeedsBytes = std::size_t{16} * 1024;
 constexpr std::size_t kLengthPrefixBytes = 4;  // precedes an encoded state, little-endian
 
 net::Endpoint to_endpoint(At address) { return {address.address, address.port}; }
@@ -170,7 +172,11 @@
     seeds_read_at_ = scheduler_.now();
     auto seeds = to_peer_addresses(settings_.seeds);
     std::ifstream file(settings_.seeds_file);
-    for (std::string line; std::getline(file, line) && seeds.size() < kMaxSeeds;) {
+    std::string text(kMaxSeedsBytes, '\0');
+    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    std::istringstream lines(std::move(text));
+    for (std::string line; std::getline(lines, line) && seeds.size() < kMaxSeeds;) {
         if (const auto endpoint = net::parse_endpoint(line)) seeds.push_back(to_peer_address(*endpoint));
     }
     membership_.set_seeds(std::move(seeds));
--- a/src/stated/fleet_file.cpp
+++ b/src/stated/fleet_file.cpp
@@ -1,9 +1,8 @@
 #include "stated/fleet_file.hpp"
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
+#include "stated/file_text.hpp"
 #include "stated/toml_table.hpp"
 
 namespace pinedoor::stated {
@@ -85,11 +84,9 @@
 }
 
 FleetFile read_fleet_file(const std::string& path) {
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf()))
-        throw ConfigError(path + ": cannot be read; name a file that exists");
-    return parse_fleet(text.str(), path);
+    const auto text = read_config_text(path);
+    if (!text) throw ConfigError(path + ": cannot be read; name a file that exists");
+    return parse_fleet(*text, path);
 }
 
 }  // namespace pinedoor::stated
--- a/src/stated/installation.cpp
+++ b/src/stated/installation.cpp
@@ -1,9 +1,8 @@
 #include "stated/installation.hpp"
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
+#include "stated/file_text.hpp"
 #include "stated/toml_table.hpp"
 
 namespace pinedoor::stated {
@@ -237,11 +236,9 @@
 }
 
 NodeSettings NodeSettings::read_file(const std::string& path) {
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf()))
-        throw ConfigError(path + ": cannot be read; name a file that exists");
-    return from_text(text.str(), path);
+    const auto text = read_config_text(path);
+    if (!text) throw ConfigError(path + ": cannot be read; name a file that exists");
+    return from_text(*text, path);
 }
 
 }  // namespace pinedoor::stated
--- a/src/stated/launch.cpp
+++ b/src/stated/launch.cpp
@@ -1,13 +1,12 @@
 #include "stated/launch.hpp"
 
 #include <charconv>
-#include <fstream>
-#include <sstream>
+
+#include "stated/file_text.hpp"
 
 namespace pinedoor::stated {
 namespace {
 
-constexpr std::size_t kMaxFileBytes = std::size_t{8} << 20U;
 constexpr double kMinSockets = 20;  // the reserve, and two each for client and server connections
 constexpr double kMinMemoryMb = 4;
 
@@ -64,13 +63,10 @@
 }
 
 LaunchConfig LaunchConfig::read_file(const std::string& path, const Variable& variable) {
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf())) {
-        throw ConfigError("ROUTER_CONFIG: cannot read '" + path + "'");
-    }
+    const auto text = read_config_text(path);
+    if (!text) throw ConfigError("ROUTER_CONFIG: cannot read '" + path + "'");
     try {
-        LaunchConfig launch(parse::parse_json(text.str(), {kMaxFileBytes, 32}), variable);
+        LaunchConfig launch(parse::parse_json(*text, {kMaxConfigBytes, 32}), variable);
         launch.path_ = path;
         return launch;
     } catch (const parse::JsonError& error) {
--- a/tests/input_bounds_test.cpp
+++ b/tests/input_bounds_test.cpp
@@ -167,6 +167,15 @@
     CHECK(suppressed > 0);
 }
 
+TEST_CASE("a configuration of over 8 MB is refused with a line that says so") {
+    BoundedNode node;
+    node.program.with("{\"name\"", std::string(9U << 20U, ' ') + "{\"name\"");
+    node.program.start();
+    CHECK(node.program.wait() == 1);
+    CHECK(node.program.log().starts_with("pinedoor: /"));
+    CHECK(node.program.log().find("/config.json: is larger than 8 MB\n") != std::string::npos);
+}
+
 TEST_CASE("the latest 64 keys of requests that crashed servers are kept") {
     policy::DeadlyKeys keys;
     for (std::uint64_t key = 1; key <= 65; ++key) keys.add({key, 100}, false);
