The budget of further sends is summed once a turn

Each part that asked for a further send summed all entries of the window, one for each turn: 20,000 steps for a window of 10 s in turns of 1 ms, for each of up to 4,096 parts. The sums of a turn are kept and go on with what is recorded in it. The time saved was not measured.

--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -26,7 +26,15 @@
         int received = 0;  // requests and parts
         int further_sends = 0;
     };
+    // What counts now, of requests and parts and of further sends.
+    struct Sums {
+        Time at = -1;
+        int received = 0;
+        int further_sends = 0;
+    };
     void record(const Entry& entry);
+    // Worked out once a turn: many parts may ask for a further send in one.
+    const Sums& sums() const;
     int received_after(Time when) const;
     int further_sends_since(Time when) const;
 
@@ -34,6 +42,7 @@
     const FurtherSendConfig config_;
     const Time slack_;
     std::deque<Entry> log_;  // entries that still count, one for each turn, oldest first
+    mutable Sums sums_;      // of the turn in which they were last asked for
 };
 
 }  // namespace pinedoor::policy
