What was read last is dated by the clock, so that no silence is found early; tiny chunks in the soak

Cause: a stop within the round in which the watch is read; what it read after the stop was dated with the time of the round, before it, and the next round found 4 s of silence. Change: spans begin, and what was read or written last is dated, by clock(); deadlines are judged by now(). At most four polls begin a round.

--- a/src/lab/soak/soak_abusers.cpp
+++ b/src/lab/soak/soak_abusers.cpp
@@ -24,6 +24,8 @@
 constexpr int kPipelineRequests = 300;
 constexpr std::size_t kPipelineQueryBytes = 1'500;
 constexpr int kUnreadRequests = 40;
+constexpr std::size_t kChunkExtensionBytes = 100;
+constexpr int kTinyChunksPerBody = 2'000;
 
 using Stop = std::function<bool()>;
 
@@ -88,12 +90,22 @@
            std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string body_of_tiny_chunks() {
+    std::string request =
+        "POST /again HTTP/1.1\r\nX-Txn: x-chunks\r\nX-Remaining-Ms: 400\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string chunk = "1;" + std::string(kChunkExtensionBytes, 'e') + "\r\n \r\n";
+    for (int i = 0; i < kTinyChunksPerBody; ++i) request += chunk;
+    return request + "0\r\n\r\n";
+}
+
 std::string flood_request(Abuse kind, const std::string& name) {
     switch (kind) {
         case Abuse::kReadinessFlood: return "GET /up HTTP/1.1\r\n\r\n";
         case Abuse::kCountersFlood: return "GET /counters HTTP/1.1\r\n\r\n";
         case Abuse::kUnsoundFlood: return "NONSENSE\r\n\r\n";
         case Abuse::kManyValues: return json_of_many_values();
+        case Abuse::kTinyChunks: return body_of_tiny_chunks();
         default: return soak_request("again", name, 80'000'000, 1, 1, "q");
     }
 }
@@ -271,7 +283,8 @@
         case Abuse::kCountersFlood:
         case Abuse::kUnsoundFlood:
         case Abuse::kNewNamesFlood:
-        case Abuse::kManyValues: return flood(node, spell, number, stop);
+        case Abuse::kManyValues:
+        case Abuse::kTinyChunks: return flood(node, spell, number, stop);
         case Abuse::kPipelinedClose: return pipeline_and_close(log, node, number, stop);
         case Abuse::kRepeatedIds: return repeat_ids(log, node, number, stop);
         case Abuse::kUnreadAnswers:
--- a/src/lab/soak/soak_plan.cpp
+++ b/src/lab/soak/soak_plan.cpp
@@ -91,9 +91,9 @@
 
 std::string_view name_of(Abuse kind) {
     constexpr std::array<std::string_view, kAbuseKinds> kNames{
-        "short-fields",   "half-body",      "slow-writers",    "trailers",    "readiness-flood",
-        "counters-flood", "unsound-flood",  "new-names-flood", "many-values", "pipelined-close",
-        "repeated-ids",   "unread-answers", "half-closes",     "connects"};
+        "short-fields",    "half-body",     "slow-writers",    "trailers",    "readiness-flood",
+        "counters-flood",  "unsound-flood", "new-names-flood", "many-values", "tiny-chunks",
+        "pipelined-close", "repeated-ids",  "unread-answers",  "half-closes", "connects"};
     return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/lab/soak/soak_plan.hpp
+++ b/src/lab/soak/soak_plan.hpp
@@ -23,13 +23,14 @@
     kUnsoundFlood,    // malformed requests at full speed, on new connections in series
     kNewNamesFlood,   // multigets of ever new names at full speed
     kManyValues,      // bodies of very many JSON values
+    kTinyChunks,      // bodies in chunks of one byte, each with a long extension
     kPipelinedClose,  // many multigets at once, then a close with much unread
     kRepeatedIds,     // a multiget whose client leaves, and that comes again under its id
     kUnreadAnswers,   // requests for large answers that are never read
     kHalfCloses,      // multigets, then the end of the sending side
     kConnects,        // connections in series that send nothing
 };
-inline constexpr int kAbuseKinds = 14;
+inline constexpr int kAbuseKinds = 15;
 std::string_view name_of(Abuse kind);
 
 // Abuse of one kind for a while.
--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -17,6 +17,7 @@
 // Time in each round for coroutines that yielded, 1 ms; the first of them is resumed in any case.
 constexpr Moment kYieldedShare = 10;
 constexpr std::size_t kEventsPerPoll = 256;
+constexpr int kMaxPolls = 4;  // at the beginning of a round; on a busy machine each may be held up
 
 std::int64_t steady_clock_nanos() {
     return std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -131,12 +132,14 @@
     if (!ready_.empty() || !yielded_.empty() || !deferred_.empty()) next = 0;
     signalled_.swap(ready_);
     Moment polled_at = 0;
+    int polls = 0;
     do {
         polled_at = clock();
         fetch_events(next);
         round_time_ = clock();
         next = 0;
-    } while (round_time_ - polled_at >= kHeldUp);  // a long wait and a suspension after it look alike
+        // A long wait and a suspension after it look alike.
+    } while (round_time_ - polled_at >= kHeldUp && ++polls < kMaxPolls);
     const bool is_timer_due = !timers_.empty() && timers_.begin()->first <= round_time_;
     if (is_timer_due && timers_.begin()->first > polled_at) fetch_events(0);
     ready_.insert(ready_.end(), signalled_.begin(), signalled_.end());
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -166,9 +166,11 @@
     Scheduler(const Scheduler&) = delete;
     Scheduler& operator=(const Scheduler&) = delete;
 
-    // Within run() the time of the current round, else that of clock(). Deadlines are compared with it.
+    // Within run() the time of the current round, else that of clock(). Whether a deadline has passed is
+    // judged by it; a span that begins, or what was read or written last, is dated by clock(), so that the
+    // span is not over early if the process was suspended since the round began.
     Moment now() const { return round_time_ != kNever ? round_time_ : clock(); }
-    // The present time, for the length of work and what is told to others.
+    // The present time.
     Moment clock() const;
     // Whether the current round began too long ago to act on what was read in it: next_round() is due first.
     // Whoever waits for that goes on afterwards in any case, since on a busy machine each round may be long.
--- a/src/peers/carrier.cpp
+++ b/src/peers/carrier.cpp
@@ -337,7 +337,7 @@
 // Sends this node's state and reads the peer's.
 net::Task PeerTransport::request_state(Connection& connection) {
     auto& waiter = connection.stream.waiter();
-    const auto deadline = scheduler_.now() + kConnectionTimeout;
+    const auto deadline = scheduler_.clock() + kConnectionTimeout;
     const auto request = add_length_prefix(codec_.encode_state(membership_.all_records()));
     std::size_t written = 0, body_size = 0;
     while (may_continue(connection, deadline)) {
@@ -363,7 +363,7 @@
 
 net::Task PeerTransport::serve_state(Connection& connection) {
     auto& waiter = connection.stream.waiter();
-    const auto deadline = scheduler_.now() + kConnectionTimeout;
+    const auto deadline = scheduler_.clock() + kConnectionTimeout;
     std::string response;
     std::size_t written = 0, body_size = 0;
     while (may_continue(connection, deadline)) {
@@ -395,7 +395,7 @@
 
 net::Task PeerTransport::serve_control(Connection& connection) {
     auto& waiter = connection.stream.waiter();
-    const auto deadline = scheduler_.now() + kConnectionTimeout;
+    const auto deadline = scheduler_.clock() + kConnectionTimeout;
     std::string out;
     std::size_t written = 0;
     while (may_continue(connection, deadline)) {
--- a/src/service/client_connection.hpp
+++ b/src/service/client_connection.hpp
@@ -23,7 +23,7 @@
     static constexpr std::size_t kAssuredBytes = 3 * kFixedBytes;
 
     ClientConnection(net::Scheduler& scheduler, net::Fd fd, InputBudgets& budgets, std::uint64_t number_of)
-        : number(number_of), stream(scheduler, std::move(fd)), phase_since(scheduler.now()),
+        : number(number_of), stream(scheduler, std::move(fd)), phase_since(scheduler.clock()),
           memory(budgets.clients), unfinished(budgets.unfinished) {}
 
     // What it holds now, as allocated, in bytes.
--- a/src/service/client_eviction.cpp
+++ b/src/service/client_eviction.cpp
@@ -41,7 +41,7 @@
 // Memory held times the time for which it was held: a large request that arrives at once costs little.
 double memory_cost(const ClientConnection& connection, Time now) {
     return static_cast<double>(connection.memory.bytes()) *
-           static_cast<double>(1 + now - connection.phase_since);
+           static_cast<double>(1 + std::max<Time>(0, now - connection.phase_since));
 }
 
 }  // namespace
--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -204,7 +204,7 @@
                           : "a client's connection is closed: its descriptor is wanted",
                {{"client", std::to_string(connection.number)},
                 {"bytes", std::to_string(connection.memory.bytes())},
-                {"phase_ms", std::to_string((scheduler_.now() - connection.phase_since) / 10)}});
+                {"phase_ms", std::to_string((scheduler_.clock() - connection.phase_since) / 10)}});
 }
 
 // Keeps clients that open connections and send nothing, never complete a request, or never disconnect from
@@ -366,11 +366,11 @@
         reply.reset();
         connection.request.reset();
         connection.phase = Phase::kWriting;
-        connection.phase_since = scheduler_.now();
+        connection.phase_since = scheduler_.clock();
         while (!text.empty()) {
             connection.output_bytes = text.capacity();
             update_memory(connection);
-            const Time deadline = scheduler_.now() + config_.write_timeout;
+            const Time deadline = scheduler_.clock() + config_.write_timeout;
             for (std::size_t written = 0; written < text.size();) {
                 written += stream.write(std::string_view(text).substr(written));
                 if (stream.broken() || scheduler_.now() >= deadline) co_return;
@@ -388,14 +388,14 @@
         }
         connection.output_bytes = 0;
         connection.phase = Phase::kIdle;
-        connection.phase_since = scheduler_.now();
+        connection.phase_since = scheduler_.clock();
     }
     // Closing a connection with unread input resets it and may destroy the answer in transit.
     net::shutdown_write(stream.fd());
     connection.phase = Phase::kLeaving;
     connection.eviction = Eviction::kNone;
     update_memory(connection);
-    const Time deadline = scheduler_.now() + kSecond;
+    const Time deadline = scheduler_.clock() + kSecond;
     for (std::size_t discarded = 0; discarded < kMaxTrailingBytes && connection.eviction == Eviction::kNone &&
                                     scheduler_.now() < deadline;) {
         if (waiter.may(net::kRead)) {
@@ -420,7 +420,7 @@
 void ClientConnections::note_first_bytes(Connection& connection, Time& arrived) {
     const bool has_begun = connection.request->started() || !connection.stream.buffer().empty();
     if (!has_begun || arrived != 0) return;
-    const Time now = scheduler_.now();
+    const Time now = scheduler_.clock();
     const Time pipelined_at = std::exchange(connection.next_arrived_at, 0);
     arrived = pipelined_at != 0 ? pipelined_at : now;
     if (connection.phase != Phase::kIdle) return;
@@ -432,7 +432,7 @@
     auto& stream = connection.stream;
     const auto note_arrival = [&] {
         if (!stream.buffer().empty() && connection.next_arrived_at == 0)
-            connection.next_arrived_at = scheduler_.now();
+            connection.next_arrived_at = scheduler_.clock();
     };
     note_arrival();
     if (!stream.waiter().may(net::kRead)) return ReadAhead::kAll;
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -303,7 +303,7 @@
 
 void Dispatcher::apply_list(ListUpdateKind kind, std::vector<ListedServer> members, Time age) {
     counters_.add(Count::kListNews);
-    last_list_contact_ = scheduler_.now() - std::max<Time>(0, age);
+    last_list_contact_ = scheduler_.clock() - std::max<Time>(0, age);
     ListUpdate news{kind, {}, age < 0 ? ListUpdate::kOld : age, {}, false};
     std::set<ServerId> named;
     for (auto& member : members) {
@@ -423,7 +423,7 @@
     if (last_list_contact_ == 0) return "never heard before";
     char text[48];
     std::snprintf(text, sizeof text, "heard %.3f s ago",
-                  static_cast<double>(scheduler_.now() - last_list_contact_) / 10'000);
+                  static_cast<double>(scheduler_.clock() - last_list_contact_) / 10'000);
     return text;
 }
 
@@ -433,9 +433,10 @@
     append_line(out, "open_parts", open_parts_);
     append_line(out, "open_most_at_once", peak_open_);
     append_line(out, "sends_out", outstanding_sends_.size());
-    append_line(
-        out, "list_age_ms",
-        last_list_contact_ == 0 ? 0 : static_cast<std::uint64_t>(scheduler_.now() - last_list_contact_) / 10);
+    append_line(out, "list_age_ms",
+                last_list_contact_ == 0
+                    ? 0
+                    : static_cast<std::uint64_t>(scheduler_.clock() - last_list_contact_) / 10);
     if (value_budget_ != nullptr) {
         append_line(out, "value_memory_bytes", value_budget_->used());
         append_line(out, "value_memory_bytes_most", value_budget_->most_used());
--- a/src/service/line_watch.cpp
+++ b/src/service/line_watch.cpp
@@ -27,7 +27,7 @@
                            std::function<bool(const std::string&)> take) {
     CallState unused_state;
     auto& state = call.state != nullptr ? *call.state : unused_state;
-    state = {CallEnd::kNoConnection, 0, scheduler.now(), 0};
+    state = {CallEnd::kNoConnection, 0, scheduler.clock(), 0};
     auto fd = net::connect_to(call.endpoint).first;
     if (!fd) co_return;
     std::optional<net::Stream> opened;
@@ -72,7 +72,7 @@
         }
         // An incomplete object does not count as contact, however slowly it grows.
         const bool is_whole = state.objects > 0 && objects.is_between();
-        if (has_new_input && (state.objects == 0 || is_whole)) state.last_input = scheduler.now();
+        if (has_new_input && (state.objects == 0 || is_whole)) state.last_input = scheduler.clock();
         if (!body.empty() && is_whole && call.on_alive) call.on_alive();
         if (objects.bad()) co_return end(CallEnd::kMalformed);
         if (reader.state() == parse::HttpParser::State::kDone) co_return end(CallEnd::kComplete);
--- a/src/service/list_share.cpp
+++ b/src/service/list_share.cpp
@@ -258,7 +258,7 @@
     };
     auto& waiter = stream.waiter();
     parse::HttpParser reader(parse::HttpParser::Kind::kRequest);
-    const auto until = scheduler_.now() + kSourceTimeout;
+    const auto until = scheduler_.clock() + kSourceTimeout;
     while (reader.state() != parse::HttpParser::State::kDone) {
         stream.buffer().drop(reader.feed(stream.buffer().held()));
         if (reader.state() == parse::HttpParser::State::kDone) break;
--- a/src/service/list_watch.cpp
+++ b/src/service/list_watch.cpp
@@ -86,21 +86,21 @@
         Level::kInfo, "list_call_ended",
         what + " ended: " + std::string(name_of(state.end)) + status + ", " + dispatcher_.format_list_age(),
         {{"reason", std::string(name_of(state.end))},
-         {"silent_ms", std::to_string((scheduler_.now() - state.last_input) / 10)}});
+         {"silent_ms", std::to_string((scheduler_.clock() - state.last_input) / 10)}});
     const bool in_part = state.objects == 0 && state.status == 200 && state.end != CallEnd::kInProgress;
     dispatcher_.report_list_loss(ListUpdateKind::kFailed, since_last_contact(), in_part);
     if (listener_ != nullptr) listener_->on_call_ended();
 }
 
 std::optional<Time> ServerListClient::since_last_contact() const {
-    return last_contact_ == 0 ? std::nullopt : std::optional<Time>(scheduler_.now() - last_contact_);
+    return last_contact_ == 0 ? std::nullopt : std::optional<Time>(scheduler_.clock() - last_contact_);
 }
 
 net::Task ServerListClient::make_call(bool stream, Call& call) {
     std::string target = "/discovery/hosts";
     if (stream) target += "?stream=1" + (revision_.empty() ? "" : "&index=" + revision_);
     const auto alive = [this] {
-        last_contact_ = scheduler_.now();
+        last_contact_ = scheduler_.clock();
         dispatcher_.note_list_contact(last_contact_);
         if (listener_ != nullptr && source_ == discovery_) listener_->on_alive({});
     };
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -229,7 +229,7 @@
         if (error != 0) close(connection, Count::kConnectFailed);
         connection.connected = !connection.closing;
     }
-    connection.last_used = scheduler_.now();
+    connection.last_used = scheduler_.clock();
     update_idle(connection);
     auto got = net::Stream::Got::kNothing;
     const auto is_closed = [&] { return got == net::Stream::Got::kEnd || got == net::Stream::Got::kBroken; };
@@ -285,7 +285,7 @@
     }
     const auto got = connection.stream.read();
     if (got != net::Stream::Got::kBytes) return got;
-    connection.last_used = scheduler_.now();
+    connection.last_used = scheduler_.clock();
     update_memory(connection);
     auto& buffer = connection.stream.buffer();
     for (;;) {
@@ -407,11 +407,11 @@
         if (connection.bytes_written == connection.frame.size()) {
             prepare_frame(connection);
             if (connection.frame.empty()) return;
-            connection.frame_started = scheduler_.now();
+            connection.frame_started = scheduler_.clock();
         }
         const auto rest = std::string_view(connection.frame).substr(connection.bytes_written);
         connection.bytes_written += connection.stream.write(rest);
-        connection.last_used = scheduler_.now();
+        connection.last_used = scheduler_.clock();
         if (connection.bytes_written < connection.frame.size()) {
             if (connection.stream.broken()) connection.stream.waiter().signal();
             return;
@@ -471,7 +471,7 @@
     connection.frame_started = net::kNever;
     if (connection.writing.empty()) return;
     counters_.add(Count::kCalls);
-    const Time now = scheduler_.now();
+    const Time now = scheduler_.clock();
     for (const auto& key : std::exchange(connection.writing, {})) {
         const auto at = active_sends_.find(key);
         if (at == active_sends_.end()) continue;  // cancelled while it was being written
@@ -601,7 +601,7 @@
         idle_connections_.erase({std::exchange(connection.idle_since, net::kNever), &connection});
         return;
     }
-    connection.idle_since = scheduler_.now();
+    connection.idle_since = scheduler_.clock();
     idle_connections_.emplace(connection.idle_since, &connection);
     const auto spare = std::max<std::size_t>(1, max_connections_ / kSpareDivisor);
     const bool is_scarce = connection_count_ - closing_count_ + spare > max_connections_;
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -48,7 +48,7 @@
     struct Server;
     struct Connection {
         Connection(net::Scheduler& scheduler, net::Fd fd, Server& to_server, MemoryBudget& budget)
-            : server(to_server), stream(scheduler, std::move(fd)), opened_at(scheduler.now()),
+            : server(to_server), stream(scheduler, std::move(fd)), opened_at(scheduler.clock()),
               last_used(opened_at), memory(budget) {}
 
         std::size_t load() const { return open_sends; }
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -133,7 +133,7 @@
 void RecordKeeper::finish() {
     if (finishing_) return;
     finishing_ = true;
-    finish_deadline_ = scheduler_.now() + kFinishTimeout;
+    finish_deadline_ = scheduler_.clock() + kFinishTimeout;
     waiter_.signal();
 }
 
--- a/src/store/pg_backend.cpp
+++ b/src/store/pg_backend.cpp
@@ -105,7 +105,7 @@
 
 // The life of one connection: connects, then serves one request after the other until the connection is lost.
 net::Task PgBackend::connect_and_serve() {
-    const auto connect_deadline = scheduler_.now() + config_.connect_timeout;
+    const auto connect_deadline = scheduler_.clock() + config_.connect_timeout;
     connection_.reset(pq_.connect_start(config_.conninfo.c_str()));
     std::string error;
     auto polling = PGRES_POLLING_WRITING;
@@ -150,7 +150,7 @@
         }
         auto request = std::move(requests_.front());
         requests_.pop_front();
-        const auto deadline = scheduler_.now() + config_.statement_timeout;
+        const auto deadline = scheduler_.clock() + config_.statement_timeout;
         QueryResult result;
         result.error = send(request);
         bool finished = !result.error.empty();
