A buffer that was given back is no longer charged to its connection

Callers saw, on a node of 16 MB: after six answers of 60 KB, one after the other, two connections were closed for memory and their requests failed; server_memory_bytes_most was 360,628, while none of it was held any more. Cause: the charge was brought up to date before the frames of a read were taken out of the buffer, and not after.

--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -294,6 +294,7 @@
             if (buffer.empty()) connection.partial_frame_since = net::kNever;
             if (!buffer.empty() && connection.partial_frame_since == net::kNever)
                 connection.partial_frame_since = connection.last_used;
+            update_memory(connection);
             return got;
         }
         const bool is_valid = frame.state == parse::FrameScan::State::kFrame && frame.letter == 'R' &&
--- a/tests/input_bounds_test.cpp
+++ b/tests/input_bounds_test.cpp
@@ -3,9 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <fstream>
+#include <cstdio>
 
 #include "policy/deadly_keys.hpp"
+#include "service/log.hpp"
 #include "stand_ins.hpp"
 
 namespace {
@@ -84,6 +85,36 @@
     CHECK(answer.find(value) != std::string::npos);
     CHECK(answer.starts_with("200 {\"whole\":false"));
     CHECK(node.program.counter("values_refused") == 1);
+    CHECK(node.program.counter("connections_closed_for_memory") == 0);  // an answer that was read holds none
+}
+
+TEST_CASE("values of all open multigets stay within their budget") {
+    BoundedNode node;
+    node.program.with("\"memory_mb\":192", "\"memory_mb\":16")
+        .with("\"streams_per_conn\":4", "\"streams_per_conn\":1");
+    node.start();
+    std::vector<Peer> clients;
+    std::vector<Peer> connections;
+    for (int i = 0; i < 7; ++i) {  // each value waits for the other part of its multiget
+        const auto name = 't' + std::to_string(i);
+        clients.push_back(node.program.client());
+        clients.back().say(post("once", name, asks({1, 2})));
+        connections.push_back(node.server.accept());
+        REQUIRE(connections.back().frame().starts_with('S' + name));
+        connections.back().reply(name + ".1", "done", std::string(60 * 1024, 'v'));
+        const auto ended = i < 6 ? "sends_returned" : "sends_error";
+        const std::uint64_t count = i < 6 ? static_cast<std::uint64_t>(i) + 1 : 1;
+        REQUIRE(node.program.wait_for_counter(ended, count) == count);
+    }
+    CHECK(node.program.counter("values_refused") == 1);
+    CHECK(node.program.counter("value_memory_bytes_most") <=
+          node.program.counter("value_memory_bytes_limit"));
+    for (int i = 0; i < 7; ++i)
+        connections[static_cast<std::size_t>(i)].reply('t' + std::to_string(i) + ".2", "done", "v");
+    int whole = 0;
+    for (auto& client : clients) whole += client.answer().starts_with("200 {\"whole\":true") ? 1 : 0;
+    CHECK(whole == 6);
+    CHECK(node.program.counter("value_memory_bytes") == 0);
 }
 
 TEST_CASE("unfinished frames of index servers stay within their budget, and the rest is served") {
@@ -152,6 +183,61 @@
     if (kMeasuresTime) CHECK(node.program.counter("longest_turn_us") < 150'000);
 }
 
+TEST_CASE("of the servers that discovery names 8,192 are kept") {
+    BoundedNode node;
+    node.start();
+    auto watch = node.discovery.accept();
+    REQUIRE(watch.read_to("\r\n\r\n").starts_with("GET "));
+    watch.say(kStream);
+    constexpr int kLists = 3;
+    constexpr int kServersEach = 3'000;
+    for (int list = 0; list < kLists; ++list) {
+        std::vector<Listed> members;
+        for (int i = 0; i < kServersEach; ++i) {
+            const auto port = static_cast<std::uint16_t>(1'024 + list * kServersEach + i);
+            members.push_back({"s-" + std::to_string(port), {INADDR_LOOPBACK + 1, port}});
+        }
+        watch.say(chunk(list_object(2 + list, false, members) + "\n"));
+    }
+    REQUIRE(node.program.wait_for_counter("list_news", 1 + kLists) == 1 + kLists);
+    CHECK(node.program.counter("servers_known") == 8'192);
+    CHECK(node.program.counter("list_servers_without_room") == 1 + kLists * kServersEach - 8'192);
+}
+
+TEST_CASE("white space in front of a list holds the front node up for less than 0.15 s") {
+    BoundedNode node;
+    node.start();
+    auto watch = node.discovery.accept();
+    REQUIRE(watch.read_to("\r\n\r\n").starts_with("GET "));
+    watch.say(kStream + chunk(std::string(3'900'000, ' ')));
+    watch.say(chunk(list_object(2, true, {{"s-1", node.server.at()}}) + "\n"));
+    REQUIRE(node.program.wait_for_counter("list_news", 2) == 2);
+    if (kMeasuresTime) CHECK(node.program.counter("longest_turn_us") < 150'000);
+    node.check_serves("u");
+}
+
+TEST_CASE("a follower that does not read is left when 1 MB waits for it") {
+    BoundedNode node;
+    const lab::HeldPort peers;
+    node.program.with_settings("[peers]\non = true\nlisten = \"" + net::to_text(peers.at()) + "\"\n");
+    node.start();
+    auto watch = node.discovery.accept();
+    REQUIRE(watch.read_to("\r\n\r\n").starts_with("GET "));
+    watch.say(kStream + chunk(list_object(2, true, {{"s-1", node.server.at()}}) + "\n"));
+    REQUIRE(node.program.wait_for_counter("list_news", 2) == 2);
+    Peer follower(peers.at());
+    follower.say("GET /discovery/hosts?stream=1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(node.program.wait_for_counter("list_followers", 1) == 1);
+    for (int revision = 3; revision < 60; ++revision) {
+        std::vector<Listed> members{{"s-1", node.server.at()}};
+        for (int i = 0; i < 1'000; ++i)
+            members.push_back({"r" + std::to_string(revision) + '-' + std::to_string(i),
+                               {INADDR_LOOPBACK + 1, static_cast<std::uint16_t>(1'024 + i)}});
+        watch.say(chunk(list_object(revision, true, members) + "\n"));
+    }
+    CHECK(node.program.wait_for_counter("list_followers", 0) == 0);
+}
+
 TEST_CASE("the list is passed on to 64 followers, others are refused and nobody waits") {
     constexpr int kFollowers = 64;
     BoundedNode node;
@@ -196,6 +282,21 @@
     CHECK(suppressed > 0);
 }
 
+TEST_CASE("a log line has 500 bytes of a value at most") {
+    net::Scheduler scheduler;
+    service::Counters counters;
+    auto* const file = std::tmpfile();
+    {
+        service::Log log(file, scheduler, counters, {});
+        log.event(service::Level::kInfo, "long", std::string(2'000, 'x'));
+    }
+    std::rewind(file);
+    std::string line(4'096, ' ');
+    line.resize(std::fread(line.data(), 1, line.size(), file));
+    std::fclose(file);
+    CHECK(std::count(line.begin(), line.end(), 'x') == 500);
+}
+
 TEST_CASE("a configuration of over 8 MB is refused with a line that says so") {
     BoundedNode node;
     node.program.with("{\"name\"", std::string(9U << 20U, ' ') + "{\"name\"");
--- a/tests/peers/membership_test.cpp
+++ b/tests/peers/membership_test.cpp
@@ -200,6 +200,20 @@
     return text;
 }
 
+TEST_CASE("a node keeps 4,096 members, itself among them, and counts those without room") {
+    Membership membership("self", {1, 9}, 0, 1, 1, {}, {});
+    std::vector<MemberRecord> records;
+    for (std::uint16_t i = 0; i < 5'000; ++i) {
+        MemberRecord record;
+        record.name = "n" + std::to_string(i);
+        record.at = {1, i};
+        records.push_back(record);
+    }
+    membership.receive_state(1, records);
+    CHECK(membership.all_records().size() == 4'096);
+    CHECK(membership.counts().rejected_full == 5'000 - 4'095);
+}
+
 TEST_CASE("merging records gives the same result in any order and with duplicates") {
     CHECK(rc::check("merge", [] {
         std::vector<MemberRecord> records;
