Memory of clients is looked at once a round, and waits for it are 10 ms apart

Cause: some hundreds of connections that wait for memory woke each millisecond, and each walked over all connections to see what could be evicted; since unfinished requests have a budget of their own the wait begins sooner. Change: once a round, and a wait of 10 ms.

--- a/src/service/client_side.cpp
+++ b/src/service/client_side.cpp
@@ -39,7 +39,8 @@
 constexpr std::size_t kMaxAheadBytes = 256 * 1024;
 // The most that one read adds to what a connection holds: a buffer that doubles to the largest body.
 constexpr std::size_t kMaxGrowthBytes = 64 * 1024;
-constexpr Time kMemoryRetryDelay = 10;  // 1 ms
+constexpr Time kMemoryRetryDelay = 100;  // 10 ms: hundreds of connections may wait for memory
+constexpr Time kDrainRetryDelay = 10;    // 1 ms
 constexpr std::size_t kMemoryReserveDivisor = 8;
 // Allocated for an open multiget besides its query, and for each of its parts, at most, in bytes.
 constexpr std::size_t kMultigetBytes = 2048;
@@ -122,7 +123,7 @@
     for (auto accepted = accept_pending(); accepted != Accepted::kAll && scheduler_.now() < drained_by;
          accepted = accept_pending()) {
         if (accepted == Accepted::kShare) waiter_->signal();
-        co_await waiter_->wait(0, std::min(drained_by, scheduler_.now() + kMemoryRetryDelay));
+        co_await waiter_->wait(0, std::min(drained_by, scheduler_.now() + kDrainRetryDelay));
     }
     waiter_.reset();
     listener_ = net::Fd{};
@@ -237,7 +238,9 @@
         evict(*connection, Eviction::kForMemory);
 }
 
+// Once a round: what was evicted in it is given back after it, and each look walks over all connections.
 void ClientConnections::free_memory() {
+    if (std::exchange(memory_freed_at_, scheduler_.now()) == scheduler_.now()) return;
     free_memory(budgets_.unfinished, &Connection::unfinished);
     free_memory(memory_, &Connection::memory);
 }
--- a/src/service/client_side.hpp
+++ b/src/service/client_side.hpp
@@ -123,6 +123,7 @@
     Time answer_until_ = net::kNever;
     std::size_t peak_connections_ = 0;
     std::uint64_t last_number_ = 0;
+    Time memory_freed_at_ = 0;
     std::size_t evictions_wanted_ = 1;  // by the next call of free_descriptors()
     ClientConnectionList connections_;
     net::Fd listener_;
