A multiget that is given up asks what became of its open rounds first

With placement on, a multiget with one part behind a fence was given up while another part ran: the store had both as never sent (0n 7n), and the X-Txn was not remembered, so that the part ran again under the same name.

Cause: Gatherer::end() took the fates of fragments in open rounds from their initial value, never sent; the rounds were abandoned only afterwards, and PlacementHandler dropped the fates that the dispatcher returned.

The gatherer is given a function that tells the fates of an open round, and calls it before it ends the multiget. Without one, such fragments may have run. Refused fragments stay never sent. Counter rounds_abandoned.

--- a/src/placement/gatherer.cpp
+++ b/src/placement/gatherer.cpp
@@ -258,9 +258,7 @@
         const auto place = routes_.find(route);
         return place == routes_.end() ? nullptr : &multiget.pieces[place->second.piece];
     };
-    for (auto& [route, fate] : result.fates) {
-        if (auto* held = held_of(route)) held->fate = fate;
-    }
+    set_fates(multiget, result.fates);
     for (auto& [route, value] : result.values) {
         auto* held = held_of(route);
         if (held == nullptr || held->state != TrackedFragment::State::kOpen) continue;
@@ -329,12 +327,33 @@
     return fates;
 }
 
-void Gatherer::end(Number number, Multiget& multiget) {
+void Gatherer::set_fates(Multiget& multiget, const FragmentFates& fates) {
+    for (const auto& [route, fate] : fates) {
+        const auto place = routes_.find(route);
+        if (place != routes_.end()) multiget.pieces[place->second.piece].fate = fate;
+    }
+}
+
+// The servers may be running fragments of a round that is abandoned, so their fates are taken here: no later
+// message tells them.
+void Gatherer::abandon_open_rounds(Number number, Multiget& multiget) {
     for (const auto& [leg, routes] : multiget.rounds) {
+        FragmentFates fates;
+        if (open_round_fates_) {
+            fates = open_round_fates_(number, leg);
+        } else {
+            for (const auto route : routes) fates.emplace_back(route, FragmentFate::kMayHaveRun);
+        }
+        set_fates(multiget, fates);
         actions_.emplace_back(AbandonRound{number, leg});
+        ++counted_.abandoned_rounds;
         for (const auto route : routes) routes_.erase(route);
-        multiget.any_failed = true;  // its fragments may have run
+        multiget.any_failed = true;
     }
+}
+
+void Gatherer::end(Number number, Multiget& multiget) {
+    abandon_open_rounds(number, multiget);
     End ending;
     ending.number = number;
     double in = 0;
@@ -387,14 +406,10 @@
     return rounds;
 }
 
-std::vector<std::pair<int, FragmentFate>> Gatherer::left(
-    Number number, const std::vector<std::pair<Route, FragmentFate>>& fates) {
+std::vector<std::pair<int, FragmentFate>> Gatherer::left(Number number, const FragmentFates& fates) {
     const auto at = multigets_.find(number);
     if (at == multigets_.end()) return {};
-    for (const auto& [route, fate] : fates) {
-        const auto place = routes_.find(route);
-        if (place != routes_.end()) at->second.pieces[place->second.piece].fate = fate;
-    }
+    set_fates(at->second, fates);
     auto known = fates_of(at->second);
     for (const auto& [leg, routes] : at->second.rounds) {
         for (const auto route : routes) routes_.erase(route);
--- a/src/placement/gatherer.hpp
+++ b/src/placement/gatherer.hpp
@@ -23,8 +23,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -88,13 +90,18 @@
 };
 
 enum class FragmentFate : char { kNeverSent = 'n', kMayHaveRun = 'm', kRan = 'r' };
+using FragmentFates = std::vector<std::pair<Route, FragmentFate>>;
+
+// Returns what is known as of now of the fragments of a round that is still open. Fragments that the result
+// does not name were never sent.
+using OpenRoundFates = std::function<FragmentFates(Number, int leg)>;
 
 // Result of a round.
 struct RoundResult {
     enum class Kind : std::uint8_t { kAnswered, kPushedBack, kFailed } kind = Kind::kFailed;
     Time wait = 0;  // kPushedBack: suggested delay before a retry
     std::vector<std::pair<Route, std::string>> values;
-    std::vector<std::pair<Route, FragmentFate>> fates;
+    FragmentFates fates;  // fragments that are not named were never sent
 };
 
 // Actions that the caller executes.
@@ -134,7 +141,9 @@
 // Tracks the open multigets. Each member function that returns actions expects the caller to execute them.
 class Gatherer {
 public:
-    explicit Gatherer(GathererConfig terms) : config_(std::move(terms)) {}
+    // Without `open_round_fates`, every fragment of an open round may have run.
+    explicit Gatherer(GathererConfig terms, OpenRoundFates open_round_fates = {})
+        : config_(std::move(terms)), open_round_fates_(std::move(open_round_fates)) {}
     using Actions = std::vector<gathering::Action>;
 
     Actions map_is(Time now, std::shared_ptr<const ShardMap> map);
@@ -147,8 +156,7 @@
     // Removes a multiget whose client has disconnected. The caller abandons the open rounds and passes the
     // known fates of their fragments; returns the fates of the splits.
     std::vector<int> open_rounds(Number number) const;
-    std::vector<std::pair<int, FragmentFate>> left(Number number,
-                                                   const std::vector<std::pair<Route, FragmentFate>>& fates);
+    std::vector<std::pair<int, FragmentFate>> left(Number number, const FragmentFates& fates);
 
     const Piece* piece(Route route) const;  // null if the fragment is not open
     // Returns the fragment to be sent now, with its epoch updated from the current map if the shard still
@@ -160,7 +168,8 @@
     static std::pair<Key, Key> keys_of(int split, std::uint64_t splits);
 
     struct Counted {
-        std::uint64_t pieces = 0, refused = 0, asked_again = 0, given_up = 0, unmerged = 0, divided = 0;
+        std::uint64_t pieces = 0, refused = 0, asked_again = 0, given_up = 0, unmerged = 0, divided = 0,
+                      abandoned_rounds = 0;
     };
     const Counted& counted() const { return counted_; }
     std::size_t open() const { return multigets_.size(); }
@@ -216,12 +225,15 @@
     SplitWeights weights_of(const Multiget& multiget) const;
     void end_if_decided(Time now, Number number);
     void end(Number number, Multiget& multiget);
+    void set_fates(Multiget& multiget, const FragmentFates& fates);
+    void abandon_open_rounds(Number number, Multiget& multiget);
     std::vector<std::pair<int, FragmentFate>> fates_of(const Multiget& multiget) const;
     const GatheredOpType& type_of(const Multiget& multiget) const {
         return config_.op_types[static_cast<std::size_t>(multiget.asked.op_type)];
     }
 
     const GathererConfig config_;
+    const OpenRoundFates open_round_fates_;
     std::shared_ptr<const ShardMap> map_;
     std::map<Number, Multiget> multigets_;
     std::map<Route, Place> routes_;
--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -181,6 +181,11 @@
     return parts;
 }
 
+store::PartOutcomes Dispatcher::part_fates(Ticket ticket) const {
+    const auto at = multigets_.find(static_cast<Id>(ticket));
+    return at == multigets_.end() ? store::PartOutcomes{} : fates(at->second);
+}
+
 store::PartOutcomes Dispatcher::fates(const OpenMultiget& open) const {
     store::PartOutcomes fates;
     for (const Id id : open.parts) fates.emplace_back(parts_.at(id).shard, parts_.at(id).fate());
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -93,6 +93,8 @@
     SubmitResult ask(MultigetRequest multiget, std::function<void(MultigetResult)> ended) override;
     store::PartOutcomes leave(Ticket ticket) override;
     Acceptance check_acceptance(const std::string& name) const override;
+    // Fates of an open multiget's parts, as of now; empty if it is not open.
+    store::PartOutcomes part_fates(Ticket ticket) const;
 
     // Reports the outcome of a send, exactly once for each send. The value is used with kReturned only.
     void finish_send(const PartSend& call, Outcome outcome, std::vector<double> load = {},
--- a/src/service/placement_side.cpp
+++ b/src/service/placement_side.cpp
@@ -15,13 +15,20 @@
 
 store::PartOutcome to_store(FragmentFate fate) { return static_cast<store::PartOutcome>(fate); }
 FragmentFate from_store(store::PartOutcome fate) { return static_cast<FragmentFate>(fate); }
+FragmentFates from_store(const store::PartOutcomes& parts) {
+    FragmentFates fates;
+    for (const auto& [route, fate] : parts) fates.emplace_back(route, from_store(fate));
+    return fates;
+}
 
 }  // namespace
 
 PlacementHandler::PlacementHandler(net::Scheduler& scheduler, Log& log, PlacementConfig terms,
                                    GathererConfig gather, net::Endpoint discovery, std::uint64_t seed)
     : scheduler_(scheduler), log_(log), terms_(std::move(terms)), discovery_(discovery),
-      follower_(terms_.follow), gatherer_(std::move(gather)), heat_(terms_.heat, seed), waiter_(scheduler) {}
+      follower_(terms_.follow),
+      gatherer_(std::move(gather), [this](Number number, int leg) { return open_round_fates(number, leg); }),
+      heat_(terms_.heat, seed), waiter_(scheduler) {}
 
 void PlacementHandler::start() {
     watch();
@@ -120,10 +127,10 @@
 store::PartOutcomes PlacementHandler::leave(Ticket multiget) {
     const auto at = open_.find(multiget);
     if (at == open_.end()) return {};
-    std::vector<std::pair<Route, FragmentFate>> known;
+    FragmentFates known;
     for (const int leg : gatherer_.open_rounds(multiget)) {
-        for (const auto& [route, fate] : dispatcher_->leave(at->second.legs[leg]))
-            known.emplace_back(route, from_store(fate));
+        const auto of_round = from_store(dispatcher_->leave(at->second.legs[leg]));
+        known.insert(known.end(), of_round.begin(), of_round.end());
     }
     store::PartOutcomes fates;
     for (const auto& [split, fate] : gatherer_.left(multiget, known))
@@ -212,10 +219,19 @@
                                                                      : RoundResult::Kind::kFailed;
     result.wait = ending.wait;
     for (auto& [route, value] : ending.values) result.values.emplace_back(route, std::move(value));
-    for (const auto& [route, fate] : ending.parts) result.fates.emplace_back(route, from_store(fate));
+    result.fates = from_store(ending.parts);
     execute_all(gatherer_.on_round_ended(scheduler_.now(), number, leg, std::move(result)));
 }
 
+// A round without a ticket has not been handed to the dispatcher.
+FragmentFates PlacementHandler::open_round_fates(Number number, int leg) const {
+    const auto at = open_.find(number);
+    if (at == open_.end()) return {};
+    const auto round = at->second.legs.find(leg);
+    if (round == at->second.legs.end()) return {};
+    return from_store(dispatcher_->part_fates(round->second));
+}
+
 void PlacementHandler::execute(const gathering::AbandonRound& leg) {
     const auto at = open_.find(leg.number);
     if (at != open_.end()) dispatcher_->leave(at->second.legs[leg.leg]);
@@ -267,6 +283,7 @@
     append_line(out, "pieces_refused", piece_counts.refused);
     append_line(out, "pieces_asked_again", piece_counts.asked_again);
     append_line(out, "pieces_given_up", piece_counts.given_up);
+    append_line(out, "rounds_abandoned", piece_counts.abandoned_rounds);
     append_line(out, "values_not_merged", piece_counts.unmerged);
     append_line(out, "placement_proposals", proposals_);
     append_line(out, "shards_cold_at_boxes", gatherer_.cold());
--- a/src/service/placement_side.hpp
+++ b/src/service/placement_side.hpp
@@ -62,6 +62,7 @@
     void execute(const placement::gathering::Wake& wake);
     void execute(const placement::gathering::End& end);
     void on_round_ended(placement::Number number, int leg, MultigetResult ending);
+    placement::FragmentFates open_round_fates(placement::Number number, int leg) const;
 
     net::Scheduler& scheduler_;
     Log& log_;
--- a/tests/stand_ins/boxes.hpp
+++ b/tests/stand_ins/boxes.hpp
@@ -103,6 +103,9 @@
     // Servers refuse `copy` requests until the copy has lasted this long.
     void set_copy_duration(int ms) { copy_ms_ = ms; }
     void set_reply_delay(int ms) { answer_ms_ = ms; }
+    // Parts that a server runs are run at once and answered after this time, even if they are cancelled
+    // meanwhile; refusals are answered at once.
+    void set_run_time(int ms) { run_ms_ = ms; }
     // Takes a server down: it closes its connections and refuses new ones. It comes back with its saved
     // state.
     void set_down(std::size_t box, bool is) { down_server_ = is ? box : 0; }
@@ -145,6 +148,7 @@
         placement::Epoch epoch = 0;
         placement::Key first = 0, last = 0;
         std::chrono::steady_clock::time_point received_at;
+        bool runs = false;
     };
     struct Connection {
         std::size_t box = 0;
@@ -262,6 +266,10 @@
                 connection.parts.push_back(part);
                 continue;
             }
+            if (part.runs) {
+                finish_run(connection, part);
+                continue;
+            }
             const auto at = boxes_[connection.box].shards.find(part.shard);
             placement::ShardGuard::Verdict verdict;
             if (at != boxes_[connection.box].shards.end() && at->second.first <= part.first &&
@@ -276,8 +284,17 @@
             auto name = part.id.substr(0, part.id.find('.'));
             runs_.push_back(
                 {connection.box, name.substr(0, name.find('~')), part.first, part.last, part.query});
-            connection.peer.reply(part.id, "done", std::to_string(points_in(part.first, part.last)));
+            finish_run(connection, part);
+        }
+    }
+    // Answers a part that has been run, or keeps it for the rest of its run time.
+    void finish_run(Connection& connection, Part part) {
+        if (std::chrono::steady_clock::now() - part.received_at < std::chrono::milliseconds(run_ms_)) {
+            part.runs = true;
+            connection.parts.push_back(std::move(part));
+            return;
         }
+        connection.peer.reply(part.id, "done", std::to_string(points_in(part.first, part.last)));
     }
 
     std::vector<Box> boxes_;
@@ -288,6 +305,7 @@
     std::map<std::pair<std::size_t, placement::MoveId>, std::chrono::steady_clock::time_point> copies_;
     std::atomic<int> copy_ms_ = 0;
     std::atomic<int> answer_ms_ = 0;
+    std::atomic<int> run_ms_ = 0;
     std::atomic<std::size_t> down_server_ = 0;
     std::atomic<bool> held_ = false;
     std::atomic<bool> stop_ = false;
