The fate of a fragment's keys is the join over all rounds that sent them

A keyed part ran at the old owner of a shard on the move, its answer was lost, and the new owner refused the repeat.

Cause: Gatherer::fates_of() passed over fragments that are asked again together with what was known of them, so that only the last round counted. A client that leaves freed its key alike.

A repeat knows the fragment whose keys it has, and its fate is joined with those of all before it; a later refusal never lowers it. What was only refused stays never sent.

--- a/src/placement/gatherer.cpp
+++ b/src/placement/gatherer.cpp
@@ -12,6 +12,13 @@
 constexpr double kWeightTolerance = 0.00005;  // tolerance for rounded weights that do not add up to exactly 1
 }
 
+FragmentFate join(FragmentFate one, FragmentFate other) {
+    for (const auto fate : {FragmentFate::kRan, FragmentFate::kMayHaveRun}) {
+        if (one == fate || other == fate) return fate;
+    }
+    return FragmentFate::kNeverSent;
+}
+
 std::pair<Key, Key> Gatherer::keys_of(int split, std::uint64_t splits) {
     const Key width = std::numeric_limits<Key>::max() / splits;
     const auto at = static_cast<Key>(split);
@@ -116,13 +123,15 @@
     return last_route_;
 }
 
-void Gatherer::send_round(Number number, Multiget& multiget, std::vector<Piece> pieces) {
+void Gatherer::send_round(Number number, Multiget& multiget, std::vector<TrackedFragment> fragments) {
     auto& routes = multiget.rounds[++multiget.last_round];
-    for (auto& piece : pieces) {
-        piece.route = new_route();
-        routes.push_back(piece.route);
-        routes_[piece.route] = {number, multiget.pieces.size()};
-        multiget.pieces.push_back({piece, TrackedFragment::State::kOpen, {}, FragmentFate::kNeverSent, 0, 0});
+    std::vector<Piece> pieces;
+    for (auto& fragment : fragments) {
+        fragment.piece.route = new_route();
+        pieces.push_back(fragment.piece);
+        routes.push_back(fragment.piece.route);
+        routes_[fragment.piece.route] = {number, multiget.pieces.size()};
+        multiget.pieces.push_back(std::move(fragment));
         ++counted_.pieces;
     }
     actions_.emplace_back(SendRound{number, multiget.last_round, std::move(pieces)});
@@ -132,19 +141,18 @@
     Multiget multiget;
     multiget.budget_ends = now + config_.op_types[static_cast<std::size_t>(asked.op_type)].latency_budget;
     multiget.asked = std::move(asked);
-    std::vector<Piece> pieces;
+    std::vector<TrackedFragment> fragments;
     for (std::size_t s = 0; map_ && s < multiget.asked.splits.size(); ++s) {
         const auto& each = multiget.asked.splits[s];
         const auto [first, last] = keys_of(each.split, config_.splits);
         auto cut_now = cut(multiget, s, first, last, each.weight);
         counted_.divided += cut_now.size() > 1 ? 1 : 0;
-        pieces.insert(pieces.end(), std::make_move_iterator(cut_now.begin()),
-                      std::make_move_iterator(cut_now.end()));
+        for (auto& piece : cut_now) fragments.emplace_back().piece = std::move(piece);
     }
     while (!send_history_.empty() && send_history_.front().at <= now - config_.further_look_back)
         send_history_.pop_front();
-    send_history_.push_back({now, pieces.size(), 0});
-    if (pieces.empty() || pieces.size() > config_.max_fragments) {
+    send_history_.push_back({now, fragments.size(), 0});
+    if (fragments.empty() || fragments.size() > config_.max_fragments) {
         // Nothing can be sent without a map or beyond the fragment limit.
         std::vector<std::pair<int, FragmentFate>> fates;
         for (const auto& each : multiget.asked.splits)
@@ -153,7 +161,7 @@
         return std::exchange(actions_, {});
     }
     auto& held = multigets_[number] = std::move(multiget);
-    send_round(number, held, std::move(pieces));
+    send_round(number, held, std::move(fragments));
     return std::exchange(actions_, {});
 }
 
@@ -183,8 +191,9 @@
 
 // Sends the waiting fragments that the current map can locate, as one further round.
 void Gatherer::ask_again(Time now, Number number, Multiget& multiget) {
-    std::vector<Piece> pieces;
-    for (auto& held : multiget.pieces) {
+    std::vector<TrackedFragment> repeats;
+    for (std::size_t index = 0; index < multiget.pieces.size(); ++index) {
+        auto& held = multiget.pieces[index];
         if (held.state != TrackedFragment::State::kWaiting || !map_can_locate(held)) continue;
         const bool server_outdated =
             held.known <= held.piece.epoch && epoch_now(held.piece) == held.piece.epoch;
@@ -194,7 +203,7 @@
         }
         auto again = cut(multiget, held.piece.split, held.piece.first, held.piece.last, held.piece.weight);
         const bool room = multiget.last_round + 1 < config_.max_rounds &&
-                          multiget.pieces.size() + pieces.size() + again.size() <= config_.max_fragments;
+                          multiget.pieces.size() + repeats.size() + again.size() <= config_.max_fragments;
         if (!room || !within_repeat_budget(now, again.size())) {
             held.state = TrackedFragment::State::kFailed;
             ++counted_.given_up;
@@ -203,10 +212,13 @@
         held.state = TrackedFragment::State::kRepeated;
         counted_.asked_again += again.size();
         send_history_.push_back({now, 0, again.size()});
-        pieces.insert(pieces.end(), std::make_move_iterator(again.begin()),
-                      std::make_move_iterator(again.end()));
+        for (auto& piece : again) {
+            auto& repeat = repeats.emplace_back();
+            repeat.piece = std::move(piece);
+            repeat.repeats = index;
+        }
     }
-    if (!pieces.empty()) send_round(number, multiget, std::move(pieces));
+    if (!repeats.empty()) send_round(number, multiget, std::move(repeats));
 }
 
 Gatherer::Actions Gatherer::refused(Time now, Route route, Epoch known) {
@@ -313,10 +325,18 @@
     actions_.emplace_back(Wake{until});
 }
 
+FragmentFate Gatherer::fate_over_rounds(const Multiget& multiget, const TrackedFragment& fragment) {
+    auto fate = fragment.fate;
+    for (auto earlier = fragment.repeats; earlier; earlier = multiget.pieces[*earlier].repeats)
+        fate = join(fate, multiget.pieces[*earlier].fate);
+    return fate;
+}
+
 std::vector<std::pair<int, FragmentFate>> Gatherer::fates_of(const Multiget& multiget) const {
     std::vector<std::set<FragmentFate>> seen(multiget.asked.splits.size());
     for (const auto& held : multiget.pieces) {
-        if (held.state != TrackedFragment::State::kRepeated) seen[held.piece.split].insert(held.fate);
+        if (held.state != TrackedFragment::State::kRepeated)
+            seen[held.piece.split].insert(fate_over_rounds(multiget, held));
     }
     std::vector<std::pair<int, FragmentFate>> fates;
     for (std::size_t s = 0; s < seen.size(); ++s) {
--- a/src/placement/gatherer.hpp
+++ b/src/placement/gatherer.hpp
@@ -90,6 +90,8 @@
 };
 
 enum class FragmentFate : char { kNeverSent = 'n', kMayHaveRun = 'm', kRan = 'r' };
+// Returns what two attempts for the same keys say together: a refusal never takes back that one may have run.
+FragmentFate join(FragmentFate one, FragmentFate other);
 using FragmentFates = std::vector<std::pair<Route, FragmentFate>>;
 
 // Returns what is known as of now of the fragments of a round that is still open. Fragments that the result
@@ -189,9 +191,10 @@
             kFailed
         } state = State::kOpen;
         std::string value;
-        FragmentFate fate = FragmentFate::kNeverSent;
-        Epoch known = 0;      // kWaiting: epoch known by the server that refused it
-        Time refused_at = 0;  // kWaiting
+        FragmentFate fate = FragmentFate::kNeverSent;  // by its own round alone
+        std::optional<std::size_t> repeats;            // index of the refused fragment whose keys these are
+        Epoch known = 0;                               // kWaiting: epoch known by the server that refused it
+        Time refused_at = 0;                           // kWaiting
     };
     struct Multiget {
         GatherRequest asked;
@@ -215,7 +218,7 @@
     std::vector<Piece> cut(const Multiget& multiget, std::size_t split, Key first, Key last,
                            double weight) const;
     Route new_route();
-    void send_round(Number number, Multiget& multiget, std::vector<Piece> pieces);
+    void send_round(Number number, Multiget& multiget, std::vector<TrackedFragment> fragments);
     void ask_again(Time now, Number number, Multiget& multiget);
     Epoch epoch_now(const Piece& piece) const;
     void mark_cold(Time now, const ShardMap& older);
@@ -227,6 +230,8 @@
     void end(Number number, Multiget& multiget);
     void set_fates(Multiget& multiget, const FragmentFates& fates);
     void abandon_open_rounds(Number number, Multiget& multiget);
+    // The fate of the fragment's keys over all rounds in which they were sent.
+    static FragmentFate fate_over_rounds(const Multiget& multiget, const TrackedFragment& fragment);
     std::vector<std::pair<int, FragmentFate>> fates_of(const Multiget& multiget) const;
     const GatheredOpType& type_of(const Multiget& multiget) const {
         return config_.op_types[static_cast<std::size_t>(multiget.asked.op_type)];
--- a/tests/placement/fates_test.cpp
+++ b/tests/placement/fates_test.cpp
@@ -1,8 +1,13 @@
 // Tests of what is told of the parts of a multiget whose shards move: the record, the key, the name and the
 // answer must not call a part harmless to repeat that may have run.
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,4 +89,242 @@
     CHECK(fleet.program->counter("invariants_broken") == 0);
 }
 
+GathererConfig gatherer_config() {
+    GathererConfig config;
+    config.op_types = {{MergeRule::kSum, true, 0.5, 1, 1'000}, {MergeRule::kSum, false, 1, 1, 1'000}};
+    config.splits = 4;
+    return config;
+}
+
+// Guards against a refusal at the new owner that hides what the old owner may have run (review/1).
+TEST_CASE("a fragment that may have run stays so when it is asked again and only refused from then on") {
+    auto config = gatherer_config();
+    config.max_rounds = 2;
+    Gatherer gatherer(config);
+    const auto share = [](const ShardMap& map) { return std::make_shared<const ShardMap>(map); };
+    auto map = ShardMap::even(4, {1, 2}, 2);
+    gatherer.map_is(0, share(map));
+    const auto sent = std::get<gathering::SendRound>(gatherer.ask(0, 7, {1, 2'000, {{1, 1, 0, 0}}}).at(0));
+    // Its first send was lost, and the new owner, which does not own yet, refuses the second one.
+    gatherer.refused(10, sent.pieces[0].route, 2);
+    map = std::get<ShardMap>(map.after(PassOwnership{2, 1}));
+    const auto again = std::get<gathering::SendRound>(gatherer.map_is(20, share(map)).at(0));
+    RoundResult lost;
+    lost.kind = RoundResult::Kind::kAnswered;
+    lost.fates = {{sent.pieces[0].route, FragmentFate::kMayHaveRun}};
+    CHECK(gatherer.on_round_ended(30, 7, 0, lost).empty());
+    gatherer.refused(40, again.pieces[0].route, 2);
+    SUBCASE("refused until the multiget is given up") {
+        RoundResult refused;
+        refused.kind = RoundResult::Kind::kAnswered;
+        gatherer.on_round_ended(50, 7, 1, refused);
+        const auto end = std::get<gathering::End>(gatherer.tick(1'800).back());
+        CHECK(end.fates.at(0).second == FragmentFate::kMayHaveRun);
+        CHECK(end.kind == RoundResult::Kind::kFailed);
+    }
+    SUBCASE("the client leaves") {
+        const auto fates = gatherer.left(7, {{again.pieces[0].route, FragmentFate::kNeverSent}});
+        CHECK(fates.at(0).second == FragmentFate::kMayHaveRun);
+    }
+}
+
+// An attempt at some keys, and what is known of it.
+struct Attempt {
+    Route route = 0;
+    std::size_t split = 0;
+    Key first = 0, last = 0;
+    FragmentFate fate = FragmentFate::kNeverSent;
+    enum class State { kOpen, kAnswered, kRefused, kLost } state = State::kOpen;
+};
+
+// What all attempts together say of a split: each key has the fate of the attempt that came furthest.
+FragmentFate expected_fate(const std::vector<Attempt>& attempts, std::size_t split) {
+    std::set<Key> bounds;
+    for (const auto& attempt : attempts) {
+        if (attempt.split == split) bounds.insert(attempt.first);
+    }
+    std::set<FragmentFate> seen;
+    for (const auto key : bounds) {
+        auto furthest = FragmentFate::kNeverSent;
+        for (const auto& attempt : attempts) {
+            if (attempt.split != split || key < attempt.first || attempt.last < key) continue;
+            if (attempt.fate == FragmentFate::kRan || furthest == FragmentFate::kNeverSent)
+                furthest = attempt.fate;
+        }
+        seen.insert(furthest);
+    }
+    return seen.size() == 1 ? *seen.begin() : FragmentFate::kMayHaveRun;
+}
+
+// Plays one multiget of four splits in random order against a model of all its attempts.
+class FatesPlay {
+public:
+    explicit FatesPlay(std::uint64_t seed)
+        : chance_(seed), gatherer_(config(), [this](Number, int leg) { return fates_of(leg); }) {
+        handle(gatherer_.map_is(0, share()));
+        GatherRequest request{static_cast<int>(chance_() % 2), 2'000, {}};
+        readers_ = request.op_type == 0;
+        for (int split = 0; split < kSplits; ++split) request.splits.push_back({split, 0.25, 0, 0});
+        handle(gatherer_.ask(0, kNumber, request));
+    }
+    void run() {
+        for (Time now = 1; !ended_; now += 1 + static_cast<Time>(chance_() % 20)) step(now);
+        RC_ASSERT(gatherer_.open() == 0U);
+        RC_ASSERT(gatherer_.routes() == 0U);
+    }
+
+private:
+    static constexpr Number kNumber = 7;
+    static constexpr int kSplits = 4;
+    static GathererConfig config() {
+        auto made = gatherer_config();
+        made.ask_again = 20;
+        return made;
+    }
+    std::shared_ptr<const ShardMap> share() const { return std::make_shared<const ShardMap>(map_); }
+
+    FragmentFates fates_of(int leg) const {
+        FragmentFates fates;
+        for (const auto& attempt : rounds_.at(leg)) {
+            if (attempt.fate != FragmentFate::kNeverSent || chance_at_names_)
+                fates.emplace_back(attempt.route, attempt.fate);
+        }
+        return fates;
+    }
+    void handle(const Gatherer::Actions& actions) {
+        for (const auto& action : actions) {
+            if (const auto* round = std::get_if<gathering::SendRound>(&action)) {
+                for (const auto& piece : round->pieces)
+                    rounds_[round->leg].push_back({piece.route, piece.split, piece.first, piece.last});
+                open_.insert(round->leg);
+            }
+            if (const auto* abandoned = std::get_if<gathering::AbandonRound>(&action))
+                open_.erase(abandoned->leg);
+            if (const auto* end = std::get_if<gathering::End>(&action)) check_end(*end);
+        }
+    }
+    void check_fates(const std::vector<std::pair<int, FragmentFate>>& fates) {
+        std::vector<Attempt> all;
+        for (const auto& [leg, attempts] : rounds_) all.insert(all.end(), attempts.begin(), attempts.end());
+        RC_ASSERT(fates.size() == static_cast<std::size_t>(kSplits));
+        for (std::size_t split = 0; split < fates.size(); ++split)
+            RC_ASSERT(fates[split].second == expected_fate(all, split));
+        ended_ = true;
+    }
+    void check_end(const gathering::End& end) {
+        RC_ASSERT(!ended_);
+        check_fates(end.fates);
+        const bool none_ran = std::all_of(end.fates.begin(), end.fates.end(), [](const auto& each) {
+            return each.second == FragmentFate::kNeverSent;
+        });
+        RC_ASSERT(end.kind != RoundResult::Kind::kPushedBack || none_ran || readers_);
+        RC_CLASSIFY(end.kind == RoundResult::Kind::kAnswered, "answered");
+        RC_CLASSIFY(end.kind == RoundResult::Kind::kPushedBack, "pushed back");
+        RC_CLASSIFY(end.kind == RoundResult::Kind::kFailed && none_ran, "failed, nothing sent");
+        RC_CLASSIFY(end.kind == RoundResult::Kind::kFailed && !none_ran, "failed, something may have run");
+    }
+    void step(Time now) {
+        if (chance_() % 300 == 0) return client_leaves();
+        switch (chance_() % 40) {
+            case 0:
+            case 1: return change_map(now);
+            case 2:
+            case 3: return handle(gatherer_.map_is(now, share()));
+            case 4:
+            case 5:
+            case 6: return handle(gatherer_.tick(now));
+            case 7:
+            case 8: return end_round(now, chance_() % 6 == 0);
+            default: return change_attempt(now);
+        }
+    }
+    void client_leaves() {
+        FragmentFates known;
+        for (const int leg : gatherer_.open_rounds(kNumber)) {
+            const auto of_round = fates_of(leg);
+            known.insert(known.end(), of_round.begin(), of_round.end());
+        }
+        RC_CLASSIFY(true, "the client leaves");
+        check_fates(gatherer_.left(kNumber, known));
+    }
+    void change_map(Time now) {
+        const auto all = map_.shards();
+        const auto& one = all[chance_() % all.size()];
+        Step change = PassOwnership{one.id, one.owner() == 1 ? ServerNumber{2} : ServerNumber{1}};
+        if (chance_() % 2 == 0 && one.last - one.first > 100)
+            change = Split{one.id, one.first + 1 + chance_() % (one.last - one.first), next_, next_ + 1};
+        next_ += 2;
+        const auto changed = map_.after(change);
+        if (std::holds_alternative<ShardMap>(changed)) map_ = std::get<ShardMap>(changed);
+        if (chance_() % 2 == 0) handle(gatherer_.map_is(now, share()));
+    }
+    void end_round(Time now, bool early) {
+        if (open_.empty()) return;
+        const int leg = *std::next(open_.begin(), static_cast<std::ptrdiff_t>(chance_() % open_.size()));
+        RoundResult result;
+        bool any_lost = false, any_open = false, any_sent = false;
+        for (const auto& attempt : rounds_.at(leg)) {
+            any_open = any_open || attempt.state == Attempt::State::kOpen;
+            any_lost = any_lost || attempt.state == Attempt::State::kLost;
+            any_sent = any_sent || attempt.fate != FragmentFate::kNeverSent;
+            if (attempt.state == Attempt::State::kAnswered) result.values.emplace_back(attempt.route, "1");
+        }
+        if (any_open && !early) return;
+        result.kind = any_lost || any_open ? RoundResult::Kind::kFailed : RoundResult::Kind::kAnswered;
+        if (!any_sent && any_open) result.kind = RoundResult::Kind::kPushedBack;
+        result.fates = fates_of(leg);
+        open_.erase(leg);
+        handle(gatherer_.on_round_ended(now, kNumber, leg, std::move(result)));
+    }
+    // Something becomes known of an attempt of an open round.
+    void change_attempt(Time now) {
+        if (open_.empty()) return handle(gatherer_.tick(now));
+        const int leg = *std::next(open_.begin(), static_cast<std::ptrdiff_t>(chance_() % open_.size()));
+        auto& attempts = rounds_.at(leg);
+        auto& attempt = attempts[chance_() % attempts.size()];
+        if (attempt.state != Attempt::State::kOpen) return;
+        switch (chance_() % 8) {
+            case 0:
+            case 1: attempt.fate = FragmentFate::kMayHaveRun; return;  // it is sent, or its answer is lost
+            case 2:
+                if (attempt.fate == FragmentFate::kMayHaveRun) attempt.state = Attempt::State::kLost;
+                return;
+            case 3:  // refused; an earlier send of it may have run, or did
+                if (chance_() % 4 == 0) attempt.fate = FragmentFate::kRan;
+                break;
+            case 4: break;
+            case 5: attempt.fate = FragmentFate::kNeverSent; break;  // nothing but refused
+            default:
+                attempt.state = Attempt::State::kAnswered;
+                attempt.fate = FragmentFate::kRan;
+                return;
+        }
+        attempt.state = Attempt::State::kRefused;
+        const auto route = attempt.route;
+        const auto* piece = gatherer_.piece(route);
+        RC_ASSERT(piece != nullptr);
+        const auto* same = map_.find(piece->shard);
+        handle(gatherer_.refused(now, route, same == nullptr ? piece->epoch + 1 : same->epoch));
+    }
+
+    std::mt19937_64 chance_;
+    const bool chance_at_names_ = chance_() % 2 == 0;  // whether fragments that were never sent are named
+    ShardMap map_ = ShardMap::even(3, {1, 2}, 2);
+    ShardId next_ = 100;
+    Gatherer gatherer_;
+    std::map<int, std::vector<Attempt>> rounds_;
+    std::set<int> open_;
+    bool readers_ = false;
+    bool ended_ = false;
+};
+
+// Guards against any end of a multiget that forgets what one of its attempts may have done.
+TEST_CASE(
+    "whatever becomes of its attempts and however a multiget ends, its fates are those of all attempts") {
+    CHECK(rc::check("fates", [] {
+        FatesPlay play(*rc::gen::arbitrary<std::uint64_t>());
+        play.run();
+    }));
+}
+
 }  // namespace
