A send that was not written when its multiget ends counts as never sent

Callers saw a record that said m (may have run), a key that stayed held and a name that got 409, for a part whose send had waited for a connection and of which no byte was written. With placement on, this would also have made the record of a multiget that is given up vaguer than it was.

Cause: the dispatcher counts a send as possibly run from the decision to send it, whatever the transport has done with it.

When fates are taken, the dispatcher leaves out the sends of which the transport has written nothing. ServerConnections never writes these once the multiget has ended: may_write() asks the dispatcher before the first byte.

--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -188,10 +188,28 @@
 
 store::PartOutcomes Dispatcher::fates(const OpenMultiget& open) const {
     store::PartOutcomes fates;
-    for (const Id id : open.parts) fates.emplace_back(parts_.at(id).shard, parts_.at(id).fate());
+    for (const Id id : open.parts) {
+        const auto& part = parts_.at(id);
+        fates.emplace_back(part.shard, fate_of(id, part));
+    }
     return fates;
 }
 
+store::PartOutcome Dispatcher::fate_of(Id id, const OpenPart& part) const {
+    if (part.has_run) return store::PartOutcome::kRan;
+    if (part.possibly_run_sends > unwritten_sends(id)) return store::PartOutcome::kMayHaveRun;
+    return store::PartOutcome::kNeverSent;
+}
+
+int Dispatcher::unwritten_sends(Id part) const {
+    int count = 0;
+    for (auto send = outstanding_sends_.lower_bound({part, 0});
+         send != outstanding_sends_.end() && send->first.first == part; ++send) {
+        if (transport_->is_unwritten(part, send->first.second)) ++count;
+    }
+    return count;
+}
+
 Dispatcher::OpenMultiget Dispatcher::remove(std::map<Id, OpenMultiget>::iterator position) {
     auto open = std::move(position->second);
     multigets_.erase(position);
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -46,6 +46,9 @@
     virtual void flush() = 0;
     // Cancels a send that has no outcome yet.
     virtual void cancel(Id part, int send) = 0;
+    // Whether no byte of a send without an outcome has been written. The transport never writes such a send
+    // once its multiget has ended.
+    virtual bool is_unwritten(Id /*part*/, int /*send*/) const { return false; }
     // Sets the address, state and start time of a server from the server list.
     virtual void update_server(ServerId server, net::Endpoint endpoint, ServerState state, Time started) = 0;
 };
@@ -148,11 +151,6 @@
         std::optional<MemoryCharge> value_charge;
     };
     struct OpenPart {
-        store::PartOutcome fate() const {
-            if (has_run) return store::PartOutcome::kRan;
-            return possibly_run_sends > 0 ? store::PartOutcome::kMayHaveRun : store::PartOutcome::kNeverSent;
-        }
-
         Id multiget = 0;
         int shard = 0;
         int possibly_run_sends = 0;  // sends that are outstanding, or ended without proof that they never ran
@@ -177,6 +175,9 @@
     void adjust_name_uses(const std::string& name, int change);
     std::size_t open_count() const { return multigets_.size() + open_parts_; }
     store::PartOutcomes fates(const OpenMultiget& open) const;
+    store::PartOutcome fate_of(Id id, const OpenPart& part) const;
+    // Number of the part's outstanding sends of which the transport has written nothing.
+    int unwritten_sends(Id part) const;
     // Removes a multiget and its parts from the open ones.
     OpenMultiget remove(std::map<Id, OpenMultiget>::iterator position);
     // Calls the completion callback of a multiget with its result.
--- a/src/service/server_side.cpp
+++ b/src/service/server_side.cpp
@@ -508,6 +508,13 @@
     finish_send(key, Outcome::kCancelled);
 }
 
+// A send that is not active yet is one of the current turn. may_write() keeps a send of a multiget that has
+// ended from being written.
+bool ServerConnections::is_unwritten(Id part, int send) const {
+    const auto at = active_sends_.find({part, send});
+    return at == active_sends_.end() || at->second.stage == Stage::kQueued;
+}
+
 void ServerConnections::remove_queued(Connection& connection, const SendKey& key) {
     for (auto at = connection.queued.begin(); at != connection.queued.end(); ++at) {
         if (std::erase(*at, key) == 0) continue;
--- a/src/service/server_side.hpp
+++ b/src/service/server_side.hpp
@@ -38,6 +38,7 @@
     void send(PartSend call) override;
     void flush() override;
     void cancel(Id part, int send) override;
+    bool is_unwritten(Id part, int send) const override;
     void update_server(ServerId id, net::Endpoint endpoint, ServerState state, Time started) override;
     std::string print_gauges() const;
 
--- a/tests/placement/fates_test.cpp
+++ b/tests/placement/fates_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -21,19 +22,25 @@
 
 // Two shards of six splits each, each at a server of its own, and a front node that records multigets.
 struct RecordingFleet {
-    RecordingFleet() : boxes(2), map(ShardMap::even(2, {1, 2}, 1)) {
+    // With `second_server`, that is the address of server 2, which no part is sent to at the start.
+    explicit RecordingFleet(std::optional<pinedoor::net::Endpoint> second_server = {})
+        : boxes(2), map(ShardMap::even(2, {1, 2}, 1)) {
         for (const char* name : {"s-1", "s-2"}) names.number(name);
         boxes.use_map(map);
-        discovery.list(boxes.listed());
+        auto listed = boxes.listed();
+        if (second_server) listed[1].at = *second_server;
+        discovery.list(listed);
         discovery.map(print_map(map, names));
-        program = std::make_unique<FrontNodeProcess>(boxes.listed(), discovery.at());
+        program = std::make_unique<FrontNodeProcess>(listed, discovery.at());
+        if (second_server) program->with("\"connect_timeout_ms\":250.0", "\"connect_timeout_ms\":3500.0");
         program->with_settings(
             "[store]\nkind = \"sqlite\"\nfolder = \"@/store\"\n"
-            "[placement]\non = true\nask_again_ms = 100\nmost_legs = 4\n");
+            "[placement]\non = true\nask_again_ms = 300\nmost_legs = 4\n");
         client = program->start().client();
         CHECK(program->wait_for_counter("map_version", 1) == 1);
         CHECK(program->wait_for_counter("store_condition", 1) == 1);
-        CHECK(ask("warm-up", "k0", {0, 7}).starts_with("200"));
+        const auto warm_up = second_server ? std::vector<int>{0} : std::vector<int>{0, 7};
+        CHECK(ask("warm-up", "k0", warm_up).starts_with("200"));
     }
     // Server 1 refuses its shard under the epoch of the map, as behind the fence of a move.
     void fence_first_shard() {
@@ -89,6 +96,21 @@
     CHECK(fleet.program->counter("invariants_broken") == 0);
 }
 
+// Guards against a vague record: a send that still waits for a connection when its multiget is given up is
+// never written.
+TEST_CASE("a multiget that is given up before its other part is written: record and name say never sent") {
+    Listener stuck(0);
+    const Peer fills_the_queue(stuck.at());  // further connections to it are not established
+    RecordingFleet fleet(stuck.at());
+    fleet.fence_first_shard();
+    CHECK(fleet.ask("t1", "k1", {0, 7}) == "500");
+    CHECK(fleet.record_of("t1").find(",0n 7n,") != std::string::npos);
+    fleet.boxes.use_map(fleet.map);
+    CHECK(fleet.ask("t1", "k2", {0}).starts_with("200"));
+    CHECK(fleet.runs_of("t1") == 1);
+    CHECK(fleet.program->counter("invariants_broken") == 0);
+}
+
 GathererConfig gatherer_config() {
     GathererConfig config;
     config.op_types = {{MergeRule::kSum, true, 0.5, 1, 1'000}, {MergeRule::kSum, false, 1, 1, 1'000}};
