The name of a multiget stays in use until it ends, between its rounds too

With placement on, a second request with the X-Txn of one that was waiting to ask again for a refused part was accepted in place of 409, and the part that the first had run was run a second time.

Cause: the dispatcher alone kept names in use, and there only the first round has the client's name. Once that round had ended, nobody used it.

PlacementHandler keeps the names of its open multigets and answers check_acceptance() for them.

--- a/src/service/placement_side.cpp
+++ b/src/service/placement_side.cpp
@@ -111,14 +111,26 @@
     }
 }
 
+Acceptance PlacementHandler::check_acceptance(const std::string& name) const {
+    if (open_names_.contains(name)) return Acceptance::kNameInUse;
+    return dispatcher_->check_acceptance(name);
+}
+
+PlacementHandler::OpenMultiget PlacementHandler::remove(OpenMultigets::iterator position) {
+    auto open = std::move(position->second);
+    open_.erase(position);
+    open_names_.erase(open.request.name);
+    return open;
+}
+
 SubmitResult PlacementHandler::ask(MultigetRequest multiget, std::function<void(MultigetResult)> ended) {
-    if (const auto acceptance = dispatcher_->check_acceptance(multiget.name);
-        acceptance != Acceptance::kTaken)
+    if (const auto acceptance = check_acceptance(multiget.name); acceptance != Acceptance::kTaken)
         return {acceptance, 0};
     const auto number = ++last_number_;
     GatherRequest request{multiget.op_type, multiget.not_after, {}};
     for (const auto& part : multiget.parts)
         request.splits.push_back({part.shard, part.weight, part.key, part.cost_hint});
+    open_names_.insert(multiget.name);
     open_[number] = {std::move(multiget), std::move(ended), {}};
     execute_all(gatherer_.ask(scheduler_.now(), number, std::move(request)));
     return {Acceptance::kTaken, number};
@@ -135,9 +147,7 @@
     store::PartOutcomes fates;
     for (const auto& [split, fate] : gatherer_.left(multiget, known))
         fates.emplace_back(split, to_store(fate));
-    const bool wants_fates = at->second.request.tells_parts;
-    open_.erase(at);
-    return wants_fates ? fates : store::PartOutcomes{};
+    return remove(at).request.tells_parts ? fates : store::PartOutcomes{};
 }
 
 std::shared_ptr<const std::string> PlacementHandler::request_text(
@@ -260,9 +270,7 @@
     if (at->second.request.tells_parts) {
         for (const auto& [split, fate] : end.fates) ending.parts.emplace_back(split, to_store(fate));
     }
-    const auto ended = std::move(at->second.on_end);
-    open_.erase(at);
-    ended(std::move(ending));
+    remove(at).on_end(std::move(ending));
 }
 
 std::string PlacementHandler::print_gauges() const {
--- a/src/service/placement_side.hpp
+++ b/src/service/placement_side.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,9 +35,9 @@
 
     SubmitResult ask(MultigetRequest multiget, std::function<void(MultigetResult)> ended) override;
     store::PartOutcomes leave(Ticket multiget) override;
-    Acceptance check_acceptance(const std::string& name) const override {
-        return dispatcher_->check_acceptance(name);
-    }
+    // A name is in use until its multiget ends, whichever of its rounds are open: further rounds have names
+    // of their own at the dispatcher.
+    Acceptance check_acceptance(const std::string& name) const override;
 
     std::shared_ptr<const std::string> request_text(int route,
                                                     const std::shared_ptr<const std::string>& text) override;
@@ -73,7 +74,10 @@
     placement::MapFollower follower_;
     placement::Gatherer gatherer_;
     placement::LoadTracker heat_;
-    std::map<placement::Number, OpenMultiget> open_;
+    using OpenMultigets = std::map<placement::Number, OpenMultiget>;
+    OpenMultiget remove(OpenMultigets::iterator position);
+    OpenMultigets open_;
+    std::set<std::string> open_names_;
     placement::Number last_number_ = 0;
     std::deque<placement::gathering::Action> pending_actions_;
     bool executing_ = false;
--- a/tests/placement/fates_test.cpp
+++ b/tests/placement/fates_test.cpp
@@ -111,6 +111,22 @@
     CHECK(fleet.program->counter("invariants_broken") == 0);
 }
 
+// Guards against a second run under an X-Txn whose first request waits to ask again: none of its rounds is
+// open.
+TEST_CASE("the name of a multiget stays in use between its rounds and in its further ones") {
+    RecordingFleet fleet;
+    fleet.fence_first_shard();
+    fleet.client.say(post("once", "t1", asks({0, 7}, "once")));
+    for (int tries = 0; tries < 800 && fleet.program->counter("pieces_asked_again") == 0; ++tries)
+        usleep(10'000);
+    CHECK(fleet.runs_of("t1") == 1);
+    auto other = fleet.program->client();
+    other.say(post("once", "t1", asks({0, 7}, "once")));
+    CHECK(other.answer().starts_with("409"));
+    CHECK(fleet.client.answer() == "500");
+    CHECK(fleet.runs_of("t1") == 1);
+}
+
 GathererConfig gatherer_config() {
     GathererConfig config;
     config.op_types = {{MergeRule::kSum, true, 0.5, 1, 1'000}, {MergeRule::kSum, false, 1, 1, 1'000}};
