A fragment that may have run is asked again within its op type's window alone

A part whose answer was lost and whose next owner refused it was asked for again whenever the node had the map, also after the window in which servers recognise a repeat: a second run. A part without a window was not safe either.

Cause: a further round is a multiget of its own to the decision module, which keeps the window within one; the gatherer asked again without looking at the fragment's fate.

The gatherer takes the fates of open rounds before it asks again. Keys that may have run are sent again only within the window of the first such attempt, less the time that a send may take, and the round ends by then; else they are given up as ones that may have run. A round's fates replace all that was set before.

--- a/src/placement/gatherer.cpp
+++ b/src/placement/gatherer.cpp
@@ -123,10 +123,14 @@
     return last_route_;
 }
 
-void Gatherer::send_round(Number number, Multiget& multiget, std::vector<TrackedFragment> fragments) {
+void Gatherer::send_round(Time now, Number number, Multiget& multiget,
+                          std::vector<TrackedFragment> fragments) {
     auto& routes = multiget.rounds[++multiget.last_round];
     std::vector<Piece> pieces;
+    Time not_after = multiget.asked.not_after;
     for (auto& fragment : fragments) {
+        if (fragment.repeats) not_after = std::min(not_after, repeat_until(multiget, fragment));
+        fragment.sent_at = now;
         fragment.piece.route = new_route();
         pieces.push_back(fragment.piece);
         routes.push_back(fragment.piece.route);
@@ -134,7 +138,7 @@
         multiget.pieces.push_back(std::move(fragment));
         ++counted_.pieces;
     }
-    actions_.emplace_back(SendRound{number, multiget.last_round, std::move(pieces)});
+    actions_.emplace_back(SendRound{number, multiget.last_round, std::move(pieces), not_after});
 }
 
 Gatherer::Actions Gatherer::ask(Time now, Number number, GatherRequest asked) {
@@ -161,7 +165,7 @@
         return std::exchange(actions_, {});
     }
     auto& held = multigets_[number] = std::move(multiget);
-    send_round(number, held, std::move(fragments));
+    send_round(now, number, held, std::move(fragments));
     return std::exchange(actions_, {});
 }
 
@@ -189,8 +193,29 @@
     return again <= config_.further_floor + config_.further_ratio * taken;
 }
 
+// The round of a refused fragment may still be open, so its fate is not told yet.
+void Gatherer::refresh_fates(Number number, Multiget& multiget) {
+    if (!open_round_fates_) return;
+    for (const auto& [leg, routes] : multiget.rounds)
+        set_fates(multiget, routes, open_round_fates_(number, leg));
+}
+
+Time Gatherer::repeat_until(const Multiget& multiget, const TrackedFragment& fragment) const {
+    const auto& type = type_of(multiget);
+    Time until = std::numeric_limits<Time>::max();
+    if (type.readers) return until;
+    const auto* attempt = &fragment;
+    for (;;) {
+        if (attempt->fate != FragmentFate::kNeverSent)
+            until = attempt->sent_at + type.repeat_window - config_.send_slack;
+        if (!attempt->repeats) return until;
+        attempt = &multiget.pieces[*attempt->repeats];
+    }
+}
+
 // Sends the waiting fragments that the current map can locate, as one further round.
 void Gatherer::ask_again(Time now, Number number, Multiget& multiget) {
+    if (!type_of(multiget).readers) refresh_fates(number, multiget);
     std::vector<TrackedFragment> repeats;
     for (std::size_t index = 0; index < multiget.pieces.size(); ++index) {
         auto& held = multiget.pieces[index];
@@ -204,7 +229,8 @@
         auto again = cut(multiget, held.piece.split, held.piece.first, held.piece.last, held.piece.weight);
         const bool room = multiget.last_round + 1 < config_.max_rounds &&
                           multiget.pieces.size() + repeats.size() + again.size() <= config_.max_fragments;
-        if (!room || !within_repeat_budget(now, again.size())) {
+        const bool may_repeat = now < repeat_until(multiget, held);
+        if (!room || !may_repeat || !within_repeat_budget(now, again.size())) {
             held.state = TrackedFragment::State::kFailed;
             ++counted_.given_up;
             continue;
@@ -218,7 +244,7 @@
             repeat.repeats = index;
         }
     }
-    if (!repeats.empty()) send_round(number, multiget, std::move(repeats));
+    if (!repeats.empty()) send_round(now, number, multiget, std::move(repeats));
 }
 
 Gatherer::Actions Gatherer::refused(Time now, Route route, Epoch known) {
@@ -270,7 +296,7 @@
         const auto place = routes_.find(route);
         return place == routes_.end() ? nullptr : &multiget.pieces[place->second.piece];
     };
-    set_fates(multiget, result.fates);
+    set_fates(multiget, open->second, result.fates);
     for (auto& [route, value] : result.values) {
         auto* held = held_of(route);
         if (held == nullptr || held->state != TrackedFragment::State::kOpen) continue;
@@ -347,7 +373,8 @@
     return fates;
 }
 
-void Gatherer::set_fates(Multiget& multiget, const FragmentFates& fates) {
+void Gatherer::set_fates(Multiget& multiget, const std::vector<Route>& round, const FragmentFates& fates) {
+    for (const auto route : round) multiget.pieces[routes_.at(route).piece].fate = FragmentFate::kNeverSent;
     for (const auto& [route, fate] : fates) {
         const auto place = routes_.find(route);
         if (place != routes_.end()) multiget.pieces[place->second.piece].fate = fate;
@@ -364,7 +391,7 @@
         } else {
             for (const auto route : routes) fates.emplace_back(route, FragmentFate::kMayHaveRun);
         }
-        set_fates(multiget, fates);
+        set_fates(multiget, routes, fates);
         actions_.emplace_back(AbandonRound{number, leg});
         ++counted_.abandoned_rounds;
         for (const auto route : routes) routes_.erase(route);
@@ -429,7 +456,7 @@
 std::vector<std::pair<int, FragmentFate>> Gatherer::left(Number number, const FragmentFates& fates) {
     const auto at = multigets_.find(number);
     if (at == multigets_.end()) return {};
-    set_fates(at->second, fates);
+    for (const auto& [leg, routes] : at->second.rounds) set_fates(at->second, routes, fates);
     auto known = fates_of(at->second);
     for (const auto& [leg, routes] : at->second.rounds) {
         for (const auto route : routes) routes_.erase(route);
--- a/src/placement/gatherer.hpp
+++ b/src/placement/gatherer.hpp
@@ -45,6 +45,9 @@
     double min_share = 1;    // share of the weight needed for an answer
     double whole_share = 1;  // share of the weight from which an answer is whole
     Time latency_budget = 0;
+    // A fragment that may have run is sent again only within this time of its first send; 0: never. Without
+    // effect on op types that readers run.
+    Time repeat_window = 0;
 };
 
 struct GathererConfig {
@@ -54,6 +57,7 @@
     double further_floor = 0, further_ratio = 0;
     Time further_look_back = 0;        // 0: no budget applies
     Time ask_again = 200;              // delay of a repeat if the server has an older epoch than the map
+    Time send_slack = 0;               // longest time from a decision until its send arrives
     Time answer_grace = 200;           // time reserved before the deadline to send the answer
     int max_rounds = 4;                // limit on rounds per multiget
     std::size_t max_fragments = 4096;  // limit on fragments per multiget
@@ -113,6 +117,7 @@
     Number number = 0;
     int leg = 0;
     std::vector<Piece> pieces;
+    Time not_after = 0;  // the round ends by then, and nothing of it is sent later
 };
 // Abandons an open round.
 struct AbandonRound {
@@ -193,6 +198,7 @@
         std::string value;
         FragmentFate fate = FragmentFate::kNeverSent;  // by its own round alone
         std::optional<std::size_t> repeats;            // index of the refused fragment whose keys these are
+        Time sent_at = 0;                              // when its round began
         Epoch known = 0;                               // kWaiting: epoch known by the server that refused it
         Time refused_at = 0;                           // kWaiting
     };
@@ -218,17 +224,21 @@
     std::vector<Piece> cut(const Multiget& multiget, std::size_t split, Key first, Key last,
                            double weight) const;
     Route new_route();
-    void send_round(Number number, Multiget& multiget, std::vector<TrackedFragment> fragments);
+    void send_round(Time now, Number number, Multiget& multiget, std::vector<TrackedFragment> fragments);
     void ask_again(Time now, Number number, Multiget& multiget);
     Epoch epoch_now(const Piece& piece) const;
     void mark_cold(Time now, const ShardMap& older);
     bool may_receive(Time now, const Piece& piece, ServerNumber box) const;
     bool map_can_locate(const TrackedFragment& held) const;
     bool within_repeat_budget(Time now, std::size_t pieces);
+    void refresh_fates(Number number, Multiget& multiget);
+    // Until when the keys of a refused fragment may be sent again.
+    Time repeat_until(const Multiget& multiget, const TrackedFragment& fragment) const;
     SplitWeights weights_of(const Multiget& multiget) const;
     void end_if_decided(Time now, Number number);
     void end(Number number, Multiget& multiget);
-    void set_fates(Multiget& multiget, const FragmentFates& fates);
+    // Sets the fates of an open round's fragments; those that are not named were never sent.
+    void set_fates(Multiget& multiget, const std::vector<Route>& round, const FragmentFates& fates);
     void abandon_open_rounds(Number number, Multiget& multiget);
     // The fate of the fragment's keys over all rounds in which they were sent.
     static FragmentFate fate_over_rounds(const Multiget& multiget, const TrackedFragment& fragment);
--- a/src/service/front_door.cpp
+++ b/src/service/front_door.cpp
@@ -235,7 +235,8 @@
         const auto rule = terms.merge.find(names[i]);
         gather.op_types.push_back({rule == terms.merge.end() ? placement::MergeRule::kWhole : rule->second,
                                    type.repeat == RetrySafety::kRetriable, type.min_share, type.whole_share,
-                                   type.latency_budget});
+                                   type.latency_budget,
+                                   type.repeat == RetrySafety::kNonRetriable ? 0 : type.dedup_window});
     }
     const auto further = settings.further_send_config();
     gather.splits = static_cast<std::uint64_t>(settings.shards());
@@ -243,6 +244,7 @@
     gather.further_ratio = further.ratio * terms.further_share;
     gather.further_look_back = further.look_back;
     gather.ask_again = terms.ask_again;
+    gather.send_slack = settings.node_place().turn + settings.send_config().connect_timeout;
     gather.answer_grace = settings.client_config().answer_grace;
     gather.max_rounds = terms.max_rounds;
     gather.cold_from = settings.cold_start_config().from;
--- a/src/service/placement_side.cpp
+++ b/src/service/placement_side.cpp
@@ -195,7 +195,7 @@
     multiget.op_type = first.op_type;
     multiget.tenant = first.tenant;
     multiget.repeat = first.repeat;
-    multiget.not_after = first.not_after;
+    multiget.not_after = leg.not_after;
     multiget.query = first.query;
     multiget.tells_parts = true;
     // The module expects the weights of a multiget's parts to sum to 1.
--- a/tests/placement/fates_test.cpp
+++ b/tests/placement/fates_test.cpp
@@ -166,11 +166,47 @@
     }
 }
 
+// Guards against a second run after the servers have forgotten the first one: an attempt that may have run is
+// repeated within the op type's window alone, whatever refused it since.
+TEST_CASE("a refused fragment that may have run is asked again only within the op type's window") {
+    auto config = gatherer_config();
+    config.op_types[1].repeat_window = 500;
+    config.send_slack = 100;
+    auto fate = FragmentFate::kMayHaveRun;
+    Route route = 0;
+    Gatherer gatherer(config, [&](Number, int) { return FragmentFates{{route, fate}}; });
+    const auto map = ShardMap::even(4, {1, 2}, 2);
+    const auto passed = std::get<ShardMap>(map.after(PassOwnership{2, 1}));
+    gatherer.map_is(0, std::make_shared<const ShardMap>(map));
+    const auto sent =
+        std::get<gathering::SendRound>(gatherer.ask(1'000, 7, {1, 5'000, {{1, 1, 0, 0}}}).at(0));
+    CHECK(sent.not_after == 5'000);
+    route = sent.pieces[0].route;
+    gatherer.refused(1'010, route, 2);
+    const auto actions_at = [&](Time now) {
+        return gatherer.map_is(now, std::make_shared<const ShardMap>(passed));
+    };
+    SUBCASE("within the window, and not sent after it") {
+        CHECK(std::get<gathering::SendRound>(actions_at(1'399).at(0)).not_after == 1'400);
+    }
+    SUBCASE("after the window it is given up, as one that may have run") {
+        const auto actions = actions_at(1'400);
+        REQUIRE(std::holds_alternative<gathering::End>(actions.back()));
+        CHECK(std::get<gathering::End>(actions.back()).kind == RoundResult::Kind::kFailed);
+        CHECK(std::get<gathering::End>(actions.back()).fates.at(0).second == FragmentFate::kMayHaveRun);
+    }
+    SUBCASE("what was only refused is asked again at any time") {
+        fate = FragmentFate::kNeverSent;
+        CHECK(std::get<gathering::SendRound>(actions_at(3'000).at(0)).not_after == 5'000);
+    }
+}
+
 // An attempt at some keys, and what is known of it.
 struct Attempt {
     Route route = 0;
     std::size_t split = 0;
     Key first = 0, last = 0;
+    Time sent_at = 0;
     FragmentFate fate = FragmentFate::kNeverSent;
     enum class State { kOpen, kAnswered, kRefused, kLost } state = State::kOpen;
 };
@@ -199,14 +235,14 @@
 public:
     explicit FatesPlay(std::uint64_t seed)
         : chance_(seed), gatherer_(config(), [this](Number, int leg) { return fates_of(leg); }) {
-        handle(gatherer_.map_is(0, share()));
+        handle(gatherer_.map_is(now_, share()));
         GatherRequest request{static_cast<int>(chance_() % 2), 2'000, {}};
         readers_ = request.op_type == 0;
         for (int split = 0; split < kSplits; ++split) request.splits.push_back({split, 0.25, 0, 0});
-        handle(gatherer_.ask(0, kNumber, request));
+        handle(gatherer_.ask(now_, kNumber, request));
     }
     void run() {
-        for (Time now = 1; !ended_; now += 1 + static_cast<Time>(chance_() % 20)) step(now);
+        for (; !ended_; now_ += 1 + static_cast<Time>(chance_() % 20)) step(now_);
         RC_ASSERT(gatherer_.open() == 0U);
         RC_ASSERT(gatherer_.routes() == 0U);
     }
@@ -214,16 +250,20 @@
 private:
     static constexpr Number kNumber = 7;
     static constexpr int kSplits = 4;
+    static constexpr Time kWindow = 300;
     static GathererConfig config() {
         auto made = gatherer_config();
         made.ask_again = 20;
+        made.op_types[1].repeat_window = kWindow;
         return made;
     }
     std::shared_ptr<const ShardMap> share() const { return std::make_shared<const ShardMap>(map_); }
 
     FragmentFates fates_of(int leg) const {
         FragmentFates fates;
-        for (const auto& attempt : rounds_.at(leg)) {
+        const auto round = rounds_.find(leg);
+        if (round == rounds_.end()) return fates;  // not handed on yet
+        for (const auto& attempt : round->second) {
             if (attempt.fate != FragmentFate::kNeverSent || chance_at_names_)
                 fates.emplace_back(attempt.route, attempt.fate);
         }
@@ -232,8 +272,9 @@
     void handle(const Gatherer::Actions& actions) {
         for (const auto& action : actions) {
             if (const auto* round = std::get_if<gathering::SendRound>(&action)) {
+                for (const auto& piece : round->pieces) check_window(piece, *round);
                 for (const auto& piece : round->pieces)
-                    rounds_[round->leg].push_back({piece.route, piece.split, piece.first, piece.last});
+                    rounds_[round->leg].push_back({piece.route, piece.split, piece.first, piece.last, now_});
                 open_.insert(round->leg);
             }
             if (const auto* abandoned = std::get_if<gathering::AbandonRound>(&action))
@@ -241,6 +282,17 @@
             if (const auto* end = std::get_if<gathering::End>(&action)) check_end(*end);
         }
     }
+    void check_window(const Piece& piece, const gathering::SendRound& round) const {
+        for (const auto& [leg, attempts] : rounds_) {
+            for (const auto& attempt : attempts) {
+                const bool same_keys = attempt.split == piece.split && attempt.first <= piece.last &&
+                                       piece.first <= attempt.last;
+                if (readers_ || !same_keys || attempt.fate == FragmentFate::kNeverSent) continue;
+                RC_ASSERT(now_ < attempt.sent_at + kWindow);
+                RC_ASSERT(round.not_after <= attempt.sent_at + kWindow);
+            }
+        }
+    }
     void check_fates(const std::vector<std::pair<int, FragmentFate>>& fates) {
         std::vector<Attempt> all;
         for (const auto& [leg, attempts] : rounds_) all.insert(all.end(), attempts.begin(), attempts.end());
@@ -346,6 +398,7 @@
     }
 
     std::mt19937_64 chance_;
+    Time now_ = 1;
     const bool chance_at_names_ = chance_() % 2 == 0;  // whether fragments that were never sent are named
     ShardMap map_ = ShardMap::even(3, {1, 2}, 2);
     ShardId next_ = 100;
