Test of each end of a multiget of which a part was refused and asked again

The ends by which a part's fate reaches the store, the key and the name had tests for being given up only. Played on sockets with a part refused and asked again: given up, out of time, the other part lost, the client gone with it out and after it ran, shutdown with it out.

--- a/tests/placement/fates_test.cpp
+++ b/tests/placement/fates_test.cpp
@@ -111,6 +111,62 @@
     CHECK(fleet.program->counter("invariants_broken") == 0);
 }
 
+// Guards against a record, key or name that is wrong for one of the ends of a multiget of which a part was
+// refused and asked again, while the other one was sent and is out, has run, or is lost.
+TEST_CASE("whichever way a multiget ends, the refused part is never sent and the other one may have run") {
+    RecordingFleet fleet;
+    fleet.fence_first_shard();
+    const auto begin = [&](int run_ms, int remaining_ms) {
+        fleet.boxes.set_run_time(run_ms);
+        fleet.client.say(
+            post("once", "t1", asks({0, 7}, "once"), remaining_ms, "Idempotency-Key: \"k1\"\r\n"));
+        for (int tries = 0; tries < 800 && fleet.program->counter("pieces_asked_again") == 0; ++tries)
+            usleep(10'000);
+        CHECK(fleet.runs_of("t1") == 1);
+    };
+    const char* fates = ",0n 7m,";
+    SUBCASE("given up, the other part has run") {
+        begin(0, 4'000);
+        CHECK(fleet.client.answer() == "500");
+        fates = ",0n 7r,";
+    }
+    SUBCASE("out of time, the other part is out") {
+        begin(4'000, 600);
+        CHECK(fleet.client.answer() == "500");
+    }
+    SUBCASE("the other part is lost with its server's connection") {
+        begin(4'000, 4'000);
+        fleet.boxes.set_down(2, true);
+        CHECK(fleet.client.answer() == "500");
+        fleet.boxes.set_down(2, false);
+    }
+    SUBCASE("the client leaves, the other part is out") {
+        begin(4'000, 4'000);
+        fleet.client.reset();
+    }
+    SUBCASE("the client leaves, the other part has run") {
+        begin(0, 4'000);
+        fleet.client.reset();
+        fates = ",0n 7r,";
+    }
+    SUBCASE("shutdown, the other part is out") {
+        begin(4'000, 4'000);
+        fleet.program->kill(SIGTERM);
+        CHECK(fleet.client.answer().starts_with("500"));
+        CHECK(fleet.program->wait() == 0);
+        fleet.program->start().client();
+        CHECK(fleet.program->wait_for_counter("store_condition", 1) == 1);
+    }
+    CHECK(fleet.record_of("t1").find(fates) != std::string::npos);
+    fleet.boxes.use_map(fleet.map);
+    fleet.boxes.set_run_time(0);
+    fleet.client = fleet.program->client();
+    CHECK(fleet.ask("t2", "k1", {0, 7}).starts_with("500"));
+    CHECK(fleet.runs_of("t1") == 1);
+    CHECK(fleet.runs_of("t2") == 0);
+    CHECK(fleet.program->counter("invariants_broken") == 0);
+}
+
 // Guards against a second run under an X-Txn whose first request waits to ask again: none of its rounds is
 // open.
 TEST_CASE("the name of a multiget stays in use between its rounds and in its further ones") {
