What is known of a part has one type, with the join as its operation

Gatherer and store each had an enum of the same three values, and the placement handler cast between them. PartFate stands in one header now; the names in store and placement are aliases of it, and the casts are gone. Nothing that is recorded or sent changes.

--- a/src/placement/gatherer.cpp
+++ b/src/placement/gatherer.cpp
@@ -12,13 +12,6 @@
 constexpr double kWeightTolerance = 0.00005;  // tolerance for rounded weights that do not add up to exactly 1
 }
 
-FragmentFate join(FragmentFate one, FragmentFate other) {
-    for (const auto fate : {FragmentFate::kRan, FragmentFate::kMayHaveRun}) {
-        if (one == fate || other == fate) return fate;
-    }
-    return FragmentFate::kNeverSent;
-}
-
 std::pair<Key, Key> Gatherer::keys_of(int split, std::uint64_t splits) {
     const Key width = std::numeric_limits<Key>::max() / splits;
     const auto at = static_cast<Key>(split);
--- a/src/placement/gatherer.hpp
+++ b/src/placement/gatherer.hpp
@@ -32,6 +32,7 @@
 #include <variant>
 #include <vector>
 
+#include "part_fate.hpp"
 #include "placement/merge_values.hpp"
 #include "placement/mover.hpp"
 #include "placement/shard_map.hpp"
@@ -93,9 +94,7 @@
     std::vector<ServerNumber> boxes;  // index servers that may run it
 };
 
-enum class FragmentFate : char { kNeverSent = 'n', kMayHaveRun = 'm', kRan = 'r' };
-// Returns what two attempts for the same keys say together: a refusal never takes back that one may have run.
-FragmentFate join(FragmentFate one, FragmentFate other);
+using FragmentFate = PartFate;
 using FragmentFates = std::vector<std::pair<Route, FragmentFate>>;
 
 // Returns what is known as of now of the fragments of a round that is still open. Fragments that the result
--- a/src/service/placement_side.cpp
+++ b/src/service/placement_side.cpp
@@ -13,14 +13,6 @@
 constexpr Time kSilenceTimeout = 30'000;
 constexpr std::size_t kHottestShards = 20;  // hottest shards to be listed among the counters
 
-store::PartOutcome to_store(FragmentFate fate) { return static_cast<store::PartOutcome>(fate); }
-FragmentFate from_store(store::PartOutcome fate) { return static_cast<FragmentFate>(fate); }
-FragmentFates from_store(const store::PartOutcomes& parts) {
-    FragmentFates fates;
-    for (const auto& [route, fate] : parts) fates.emplace_back(route, from_store(fate));
-    return fates;
-}
-
 }  // namespace
 
 PlacementHandler::PlacementHandler(net::Scheduler& scheduler, Log& log, PlacementConfig terms,
@@ -141,12 +133,10 @@
     if (at == open_.end()) return {};
     FragmentFates known;
     for (const int leg : gatherer_.open_rounds(multiget)) {
-        const auto of_round = from_store(dispatcher_->leave(at->second.legs[leg]));
+        const auto of_round = dispatcher_->leave(at->second.legs[leg]);
         known.insert(known.end(), of_round.begin(), of_round.end());
     }
-    store::PartOutcomes fates;
-    for (const auto& [split, fate] : gatherer_.left(multiget, known))
-        fates.emplace_back(split, to_store(fate));
+    auto fates = gatherer_.left(multiget, known);
     return remove(at).request.tells_parts ? fates : store::PartOutcomes{};
 }
 
@@ -229,7 +219,7 @@
                                                                      : RoundResult::Kind::kFailed;
     result.wait = ending.wait;
     for (auto& [route, value] : ending.values) result.values.emplace_back(route, std::move(value));
-    result.fates = from_store(ending.parts);
+    result.fates = std::move(ending.parts);
     execute_all(gatherer_.on_round_ended(scheduler_.now(), number, leg, std::move(result)));
 }
 
@@ -239,7 +229,7 @@
     if (at == open_.end()) return {};
     const auto round = at->second.legs.find(leg);
     if (round == at->second.legs.end()) return {};
-    return from_store(dispatcher_->part_fates(round->second));
+    return dispatcher_->part_fates(round->second);
 }
 
 void PlacementHandler::execute(const gathering::AbandonRound& leg) {
@@ -267,9 +257,7 @@
     ending.whole = end.whole;
     ending.wait = end.wait;
     ending.values = end.values;
-    if (at->second.request.tells_parts) {
-        for (const auto& [split, fate] : end.fates) ending.parts.emplace_back(split, to_store(fate));
-    }
+    if (at->second.request.tells_parts) ending.parts = end.fates;
     remove(at).on_end(std::move(ending));
 }
 
--- a/src/store/record.hpp
+++ b/src/store/record.hpp
@@ -18,6 +18,8 @@
 #include <variant>
 #include <vector>
 
+#include "part_fate.hpp"
+
 namespace pinedoor::store {
 
 using Time = std::int64_t;  // tenths of a millisecond since 1970, or a duration in that unit
@@ -34,8 +36,8 @@
 std::string_view name_of(OutcomeKind fate);
 std::optional<OutcomeKind> parse_outcome_kind(std::string_view name);
 
-// What is known about a part when its multiget ends; kMayHaveRun unless the opposite is certain.
-enum class PartOutcome : char { kNeverSent = 'n', kMayHaveRun = 'm', kRan = 'r' };
+// What is known about a part when its multiget ends.
+using PartOutcome = PartFate;
 
 struct Intent {
     RecordId id;
