A round that its multiget gives up is not logged as left by its client

The log of one request and clients_gone said that a client had left when the gatherer gave a multiget up with a round open, so that neither told the two apart. The tests of the placement and request log pass.

--- a/src/service/exchange.cpp
+++ b/src/service/exchange.cpp
@@ -170,13 +170,19 @@
 }
 
 store::PartOutcomes Dispatcher::leave(Ticket ticket) {
+    if (multigets_.contains(static_cast<Id>(ticket))) counters_.add(Count::kClientsGone);
+    return drop(ticket, "left by its client");
+}
+
+void Dispatcher::abandon(Ticket ticket) { drop(ticket, "abandoned with its multiget"); }
+
+store::PartOutcomes Dispatcher::drop(Ticket ticket, std::string_view reason) {
     const auto multiget = static_cast<Id>(ticket);
     const auto at = multigets_.find(multiget);
     if (at == multigets_.end()) return {};
-    request_log_.ended(at->second.name, "left by its client", "");
+    request_log_.ended(at->second.name, reason, "");
     auto parts = at->second.wants_part_fates ? fates(at->second) : store::PartOutcomes{};
     remove(at);
-    counters_.add(Count::kClientsGone);
     enqueue(ClientDisconnected{multiget});
     return parts;
 }
--- a/src/service/exchange.hpp
+++ b/src/service/exchange.hpp
@@ -96,6 +96,9 @@
     SubmitResult ask(MultigetRequest multiget, std::function<void(MultigetResult)> ended) override;
     store::PartOutcomes leave(Ticket ticket) override;
     Acceptance check_acceptance(const std::string& name) const override;
+    // As leave(), but the client is still there: the handler that divided its multiget gives this part of it
+    // up.
+    void abandon(Ticket ticket);
     // Fates of an open multiget's parts, as of now; empty if it is not open.
     store::PartOutcomes part_fates(Ticket ticket) const;
 
@@ -180,6 +183,8 @@
     int unwritten_sends(Id part) const;
     // Removes a multiget and its parts from the open ones.
     OpenMultiget remove(std::map<Id, OpenMultiget>::iterator position);
+    // Ends a multiget that nobody waits for any more; returns its parts' fates.
+    store::PartOutcomes drop(Ticket ticket, std::string_view reason);
     // Calls the completion callback of a multiget with its result.
     void finish_multiget(Id multiget, MultigetResult ending, std::string_view reason);
 
--- a/src/service/placement_side.cpp
+++ b/src/service/placement_side.cpp
@@ -234,7 +234,7 @@
 
 void PlacementHandler::execute(const gathering::AbandonRound& leg) {
     const auto at = open_.find(leg.number);
-    if (at != open_.end()) dispatcher_->leave(at->second.legs[leg.leg]);
+    if (at != open_.end()) dispatcher_->abandon(at->second.legs[leg.leg]);
 }
 
 void PlacementHandler::execute(const gathering::RequestMap& want) {
