--- a/tests/placement/fates_test.cpp
+++ b/tests/placement/fates_test.cpp
@@ -120,8 +120,10 @@
         fleet.boxes.set_run_time(run_ms);
         fleet.client.say(
             post("once", "t1", asks({0, 7}, "once"), remaining_ms, "Idempotency-Key: \"k1\"\r\n"));
-        for (int tries = 0; tries < 800 && fleet.program->counter("pieces_asked_again") == 0; ++tries)
-            usleep(10'000);
+        const auto has_begun = [&] {
+            return fleet.runs_of("t1") > 0 && fleet.program->counter("pieces_asked_again") > 0;
+        };
+        for (int tries = 0; tries < 800 && !has_begun(); ++tries) usleep(10'000);
         CHECK(fleet.runs_of("t1") == 1);
     };
     const char* fates = ",0n 7m,";
