Failed tests are named once more at the end of a run

Change: a doctest listener prints each failed check with its test case, file and line after the last test. No check changed.

--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,10 +1,14 @@
-// Entry point of the test program. A doctest listener prints the name of each test case at its start and ends
-// the program if one runs too long, so a test that hangs fails, and the last line of the output names it.
+// Entry point of the test program. One doctest listener prints the name of each test case at its start and
+// ends the program if one runs too long, so a test that hangs fails, and the last line of the output names
+// it. Another one repeats what failed at the end of the run, because the middle of a long output may be cut.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <unistd.h>
 
 #include <cstdio>
+#include <mutex>
+#include <string>
+#include <vector>
 
 namespace {
 
@@ -36,6 +40,46 @@
     }
 };
 
+// Prints the failed test cases and their failed checks once more, after the last test case.
+class FailureSummary : public doctest::IReporter {
+public:
+    explicit FailureSummary(const doctest::ContextOptions&) {}
+
+    void test_case_start(const doctest::TestCaseData& test) override { test_case_ = test.m_name; }
+    void log_assert(const doctest::AssertData& check) override {
+        if (check.m_failed) add(check.m_file, check.m_line, check.m_expr);
+    }
+    void log_message(const doctest::MessageData& message) override {
+        if (message.m_severity != doctest::assertType::is_warn)
+            add(message.m_file, message.m_line, message.m_string.c_str());
+    }
+    void test_case_exception(const doctest::TestCaseException& thrown) override {
+        add("exception", 0, thrown.error_string.c_str());
+    }
+    void test_run_end(const doctest::TestRunStats&) override {
+        for (const auto& line : lines_) std::fprintf(stderr, "failed: %s\n", line.c_str());
+    }
+
+    void test_case_reenter(const doctest::TestCaseData&) override {}
+    void test_case_end(const doctest::CurrentTestCaseStats&) override {}
+    void report_query(const doctest::QueryData&) override {}
+    void test_run_start() override {}
+    void subcase_start(const doctest::SubcaseSignature&) override {}
+    void subcase_end() override {}
+    void test_case_skipped(const doctest::TestCaseData&) override {}
+
+private:
+    void add(const char* file, int line, const char* what) {
+        const std::lock_guard lock(mutex_);  // checks run in threads, too
+        lines_.push_back(test_case_ + "\n  " + file + ':' + std::to_string(line) + ": " + what);
+    }
+
+    std::mutex mutex_;
+    std::string test_case_;
+    std::vector<std::string> lines_;
+};
+
 }  // namespace
 
 REGISTER_LISTENER("watchdog", 1, Watchdog);
+REGISTER_LISTENER("failure_summary", 2, FailureSummary);
