A multiget of which every part was refused is refused, however its rounds ended

What callers saw: with placement on, one part refused by a fence and another by a full server: 500 in place of 503, the record `failed` though its fates were `0n 7n`, and the Idempotency-Key held for good. The same for a multiget that was given up while its other part was not written yet.

Cause: Gatherer::end() decided whether a retry is harmless from how rounds had ended. The decision module takes `moved` for an answer and fails such a round; each abandoned round counted as failed.

Change: none_ran alone makes a refusal. What may have run fails as before.

Why it works: fates are the join of all attempts, taken before the rounds are abandoned; unwritten sends are never written later. The decision module's own rule is the same: a pushback where all parts are proven not to have run.

--- a/src/placement/gatherer.cpp
+++ b/src/placement/gatherer.cpp
@@ -428,9 +428,10 @@
         ending.whole = in >= type.whole_share - kWeightTolerance;
     } else {
         ending.values.clear();
-        // Pushed back if nothing ran, or if readers may run the op type and a round was pushed back.
+        // Pushed back if nothing ran, however its rounds ended, or if readers may run the op type and a round
+        // was pushed back.
         const bool pushed_back =
-            !multiget.any_failed && (none_ran || (type.readers && multiget.any_pushed_back));
+            none_ran || (type.readers && multiget.any_pushed_back && !multiget.any_failed);
         ending.kind = pushed_back ? RoundResult::Kind::kPushedBack : RoundResult::Kind::kFailed;
         ending.wait = multiget.wait;
     }
--- a/tests/stand_ins/boxes.hpp
+++ b/tests/stand_ins/boxes.hpp
@@ -106,6 +106,8 @@
     // Parts that a server runs are run at once and answered after this time, even if they are cancelled
     // meanwhile; refusals are answered at once.
     void set_run_time(int ms) { run_ms_ = ms; }
+    // A server turns away, as full, all parts of the shards that it owns.
+    void set_full(std::size_t box, bool is) { full_server_ = is ? box : 0; }
     // Takes a server down: it closes its connections and refuses new ones. It comes back with its saved
     // state.
     void set_down(std::size_t box, bool is) { down_server_ = is ? box : 0; }
@@ -281,6 +283,10 @@
                 connection.peer.reply(part.id, "moved", std::to_string(verdict.known));
                 continue;
             }
+            if (connection.box + 1 == full_server_) {
+                connection.peer.reply(part.id, "full");
+                continue;
+            }
             auto name = part.id.substr(0, part.id.find('.'));
             runs_.push_back(
                 {connection.box, name.substr(0, name.find('~')), part.first, part.last, part.query});
@@ -307,6 +313,7 @@
     std::atomic<int> answer_ms_ = 0;
     std::atomic<int> run_ms_ = 0;
     std::atomic<std::size_t> down_server_ = 0;
+    std::atomic<std::size_t> full_server_ = 0;
     std::atomic<bool> held_ = false;
     std::atomic<bool> stop_ = false;
     std::thread thread_;
