Kinds of result are converted by name; the tests' restart after a shutdown stands once

Two nested conditional expressions in placement_side.cpp become functions, and the restart that two tests had is the fixture's.

--- a/src/service/placement_side.cpp
+++ b/src/service/placement_side.cpp
@@ -13,6 +13,18 @@
 constexpr Time kSilenceTimeout = 30'000;
 constexpr std::size_t kHottestShards = 20;  // hottest shards to be listed among the counters
 
+RoundResult::Kind to_round_kind(MultigetResult::Kind kind) {
+    if (kind == MultigetResult::Kind::kAnswered) return RoundResult::Kind::kAnswered;
+    if (kind == MultigetResult::Kind::kPushedBack) return RoundResult::Kind::kPushedBack;
+    return RoundResult::Kind::kFailed;
+}
+
+MultigetResult::Kind to_multiget_kind(RoundResult::Kind kind) {
+    if (kind == RoundResult::Kind::kAnswered) return MultigetResult::Kind::kAnswered;
+    if (kind == RoundResult::Kind::kPushedBack) return MultigetResult::Kind::kPushedBack;
+    return MultigetResult::Kind::kFailed;
+}
+
 }  // namespace
 
 PlacementHandler::PlacementHandler(net::Scheduler& scheduler, Log& log, PlacementConfig terms,
@@ -214,9 +226,7 @@
 
 void PlacementHandler::on_round_ended(Number number, int leg, MultigetResult ending) {
     RoundResult result;
-    result.kind = ending.kind == MultigetResult::Kind::kAnswered     ? RoundResult::Kind::kAnswered
-                  : ending.kind == MultigetResult::Kind::kPushedBack ? RoundResult::Kind::kPushedBack
-                                                                     : RoundResult::Kind::kFailed;
+    result.kind = to_round_kind(ending.kind);
     result.wait = ending.wait;
     for (auto& [route, value] : ending.values) result.values.emplace_back(route, std::move(value));
     result.fates = std::move(ending.parts);
@@ -251,9 +261,7 @@
     const auto at = open_.find(end.number);
     if (at == open_.end()) return;
     MultigetResult ending;
-    ending.kind = end.kind == RoundResult::Kind::kAnswered     ? MultigetResult::Kind::kAnswered
-                  : end.kind == RoundResult::Kind::kPushedBack ? MultigetResult::Kind::kPushedBack
-                                                               : MultigetResult::Kind::kFailed;
+    ending.kind = to_multiget_kind(end.kind);
     ending.whole = end.whole;
     ending.wait = end.wait;
     ending.values = end.values;
--- a/tests/placement/fates_test.cpp
+++ b/tests/placement/fates_test.cpp
@@ -61,6 +61,14 @@
         }
         return false;
     }
+    // Ends the front node while the client waits, who gets this status, and starts it on the same store.
+    void shut_down_and_restart(const std::string& status) {
+        program->kill(SIGTERM);
+        CHECK(client.answer().starts_with(status));
+        CHECK(program->wait() == 0);
+        program->start().client();
+        CHECK(program->wait_for_counter("store_condition", 1) == 1);
+    }
     std::size_t runs_of(const std::string& name) const {
         const auto runs = boxes.runs();
         return static_cast<std::size_t>(
@@ -116,13 +124,7 @@
     CHECK(fleet.wait_until_refused_again());
     SUBCASE("given up") { CHECK(fleet.client.answer() == "503"); }
     SUBCASE("the client leaves") { fleet.client.reset(); }
-    SUBCASE("shutdown") {
-        fleet.program->kill(SIGTERM);
-        CHECK(fleet.client.answer().starts_with("503"));
-        CHECK(fleet.program->wait() == 0);
-        fleet.program->start().client();
-        CHECK(fleet.program->wait_for_counter("store_condition", 1) == 1);
-    }
+    SUBCASE("shutdown") { fleet.shut_down_and_restart("503"); }
     const auto record = fleet.record_of("t1");
     INFO(record);
     CHECK(record.find(",0n 7n,") != std::string::npos);
@@ -190,26 +192,19 @@
         fleet.client.reset();
         fates = ",0n 7r,";
     }
-    const auto shut_down_and_restart = [&] {
-        fleet.program->kill(SIGTERM);
-        CHECK(fleet.client.answer().starts_with("500"));
-        CHECK(fleet.program->wait() == 0);
-        fleet.program->start().client();
-        CHECK(fleet.program->wait_for_counter("store_condition", 1) == 1);
-    };
     SUBCASE("shutdown, the other part is out") {
         begin(4'000, 4'000);
-        shut_down_and_restart();
+        fleet.shut_down_and_restart("500");
     }
     SUBCASE("shutdown, the other part has run") {
         begin(0, 4'000);
-        shut_down_and_restart();
+        fleet.shut_down_and_restart("500");
         fates = ",0n 7r,";
     }
     SUBCASE("shutdown, the other part is lost with its server's connection") {
         begin(4'000, 4'000);
         fleet.boxes.set_down(2, true);
-        shut_down_and_restart();
+        fleet.shut_down_and_restart("500");
         fleet.boxes.set_down(2, false);
     }
     const auto record = fleet.record_of("t1");
