Tests: a front node that is silent fails its test within seconds, and says what it was doing

What it could be: a front node that never listened or stopped answering (wait_for_counter then waited 800 times for 8 s), a `pinedoor store` command that did not end (popen without a limit), a child that stood between fork and exec (it allocated, while threads of the test may hold the heap lock), a failed fork (which was not looked at), or a test program killed from outside, whose front node kept CTest's pipe open.

Change: each of these ends by itself and can be told from the others. The child allocates nothing before exec, a failed fork throws, the store command has a limit, wait_for_counter ends after one answer that took a whole wait, a silent process is reported with its program, what it waits in and its log, and processes under test hold no output of the test program. "begins:" lines give the time since the start. No assertion, bound or case has changed.

--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,10 +1,12 @@
-// Entry point of the test program. One doctest listener prints the name of each test case at its start and
-// ends the program if one runs too long, so a test that hangs fails, and the last line of the output names
-// it. Another one repeats what failed at the end of the run, because the middle of a long output may be cut.
+// Entry point of the test program. One doctest listener prints the name of each test case and the time since
+// the start of the program when the test case begins, and ends the program if one runs too long, so a test
+// that hangs fails, and the last line of the output names it. Another one repeats what failed at the end of
+// the run, because the middle of a long output may be cut.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdio>
 #include <mutex>
 #include <string>
@@ -34,10 +36,14 @@
 
 private:
     // Writes to stderr, which is unbuffered, so that the name is printed before the alarm ends the program.
-    static void print_name_and_set_alarm(const doctest::TestCaseData& test) {
-        std::fprintf(stderr, "begins: %s\n", test.m_name);
+    void print_name_and_set_alarm(const doctest::TestCaseData& test) const {
+        const auto elapsed = std::chrono::steady_clock::now() - program_start_;
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(elapsed).count();
+        std::fprintf(stderr, "begins: %s (after %lld s)\n", test.m_name, static_cast<long long>(seconds));
         alarm(kMaxTestCaseSeconds);
     }
+
+    const std::chrono::steady_clock::time_point program_start_ = std::chrono::steady_clock::now();
 };
 
 // Prints the failed test cases and their failed checks once more, after the last test case.
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -13,6 +13,9 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
+#include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -20,6 +23,7 @@
 #include <random>
 #include <sstream>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -41,6 +45,7 @@
 
 inline constexpr int kWaitTimeoutSeconds = 8;   // limit of any wait for an event that may never occur
 inline constexpr int kMaxShutdownSeconds = 60;  // a process that has not exited by then is killed
+inline constexpr int kMaxCommandSeconds = 300;  // limit of a command that ends by itself
 
 inline sockaddr_in to_sockaddr(net::Endpoint endpoint) {
     sockaddr_in address{};
@@ -353,10 +358,11 @@
     }
     const std::string& folder() const { return folder_; }
     net::Endpoint at() const { return port_.at(); }
-    // Runs `pinedoor store ...`; returns its stdout and stderr, followed by its exit code if that is not 0.
+    // Runs `pinedoor store ...`; returns its stdout and stderr, followed by its exit code if that is not 0:
+    // 124 if it did not end within kMaxCommandSeconds.
     std::string store(const std::string& arguments) const {
-        const auto command =
-            std::string(PINEDOOR_PROGRAM) + " store -s " + folder_ + "/pinedoor.toml " + arguments + " 2>&1";
+        const auto command = "timeout " + std::to_string(kMaxCommandSeconds) + ' ' + PINEDOOR_PROGRAM +
+                             " store -s " + folder_ + "/pinedoor.toml " + arguments + " 2>&1";
         std::string text;
         auto* const pipe = popen(command.c_str(), "r");
         for (char bytes[4096]; const auto count = fread(bytes, 1, sizeof bytes, pipe);)
@@ -377,16 +383,19 @@
                 text.replace(position, 1, folder_);
             std::ofstream(folder_ + "/pinedoor.toml") << text;
         }
+        const auto log_file = folder_ + "/log";
+        const auto variables = environment_variables();
+        std::vector<char*> environment;
+        for (const auto& variable : variables) environment.push_back(const_cast<char*>(variable.c_str()));
+        environment.push_back(nullptr);
+        // Threads of the test may hold the heap lock, so the child must not allocate before execle.
         pid_ = fork();
+        if (pid_ < 0) throw std::system_error(errno, std::generic_category(), "fork");
         if (pid_ == 0) {
-            setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
-            for (const char* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) unsetenv(name);
-            if (!settings_.empty()) setenv("PINEDOOR_SETTINGS", (folder_ + "/pinedoor.toml").c_str(), 1);
-            for (const auto& [name, value] : environment_) setenv(name.c_str(), value.c_str(), 1);
-            if (!discovery_.empty()) setenv("ROUTER_DISCOVERY", discovery_.c_str(), 1);
-            const int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+            const int log = open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+            dup2(log, 1);  // an output of the test stays open for as long as a process holds it
             dup2(log, 2);
-            execl(path_, path_, static_cast<char*>(nullptr));
+            execle(path_, path_, static_cast<char*>(nullptr), environment.data());
             _exit(127);
         }
         return *this;
@@ -398,6 +407,7 @@
             if (peer.connected()) return peer;
             usleep(10'000);
         }
+        report_state("does not accept connections");
         return Peer{};
     }
     pid_t process() const { return pid_; }
@@ -434,6 +444,7 @@
         auto peer = client();
         peer.say("GET /counters HTTP/1.1\r\nConnection: close\r\n\r\n");
         const auto answer = peer.answer();
+        if (peer.connected() && answer == "nothing") report_state("does not answer /counters");
         std::istringstream lines(
             answer.substr(std::min<std::size_t>(answer.size(), 21)));  // skips "200 connection=close "
         std::uint64_t value = 0;
@@ -442,15 +453,50 @@
         }
         return 999'999;
     }
-    // Waits until the counter has this value; returns the last value that was read.
+    // Waits until the counter has this value; returns the last value that was read. Ends at once if the
+    // process has taken a whole wait for one answer.
     std::uint64_t wait_for_counter(const std::string& name, std::uint64_t value) {
         std::uint64_t last = 0;
-        for (int tries = 0; tries < kWaitTimeoutSeconds * 100 && (last = counter(name)) != value; ++tries)
+        for (int tries = 0; tries < kWaitTimeoutSeconds * 100; ++tries) {
+            const auto asked_at = std::chrono::steady_clock::now();
+            last = counter(name);
+            const auto waited = std::chrono::steady_clock::now() - asked_at;
+            if (last == value || waited >= std::chrono::seconds(kWaitTimeoutSeconds)) return last;
             usleep(10'000);
+        }
         return last;
     }
 
 private:
+    // Prints what the process is doing, for the trace of a test in which it is silent.
+    void report_state(const char* what) const {
+        const auto file = "/proc/" + std::to_string(pid_);
+        std::ostringstream program, waits_in;
+        program << std::ifstream(file + "/comm").rdbuf();
+        waits_in << std::ifstream(file + "/wchan").rdbuf();
+        std::fprintf(stderr, "process %d %s; its program: %s; it waits in: %s; its log:\n%s\n", pid_, what,
+                     program.str().c_str(), waits_in.str().c_str(), log().c_str());
+    }
+
+    // The environment of the process, as NAME=VALUE: that of the test without pinedoor's own variables, and
+    // those that the test sets.
+    std::vector<std::string> environment_variables() const {
+        auto own = environment_;
+        own.emplace("ROUTER_CONFIG", folder_ + "/config.json");
+        if (!settings_.empty()) own.emplace("PINEDOOR_SETTINGS", folder_ + "/pinedoor.toml");
+        if (!discovery_.empty()) own["ROUTER_DISCOVERY"] = discovery_;
+        std::vector<std::string> variables;
+        for (char** inherited = environ; *inherited != nullptr; ++inherited) {
+            const std::string variable = *inherited;
+            const auto name = variable.substr(0, variable.find('='));
+            const bool is_removed =
+                name == "ROUTER_NAME" || name == "ROUTER_LISTEN" || name == "ROUTER_DISCOVERY";
+            if (!is_removed && !own.contains(name)) variables.push_back(variable);
+        }
+        for (const auto& [name, value] : own) variables.push_back(name + '=' + value);
+        return variables;
+    }
+
     // Reserves the port, so that a client that connects before the process listens is not connected to
     // itself.
     const lab::HeldPort port_;
